Refuse what comes late in a planned stop

Change: once the balancer has had time to look away, a stopping host closes idle connections and answers 503 with a Retry-After of 0.05 s.

--- a/src/amaranthferry/gateway/application.py
+++ b/src/amaranthferry/gateway/application.py
@@ -81,6 +81,7 @@
         self.servers = ServerBelief(self._apply_deployment)
         self.peers: PeerNetwork | None = None
         self.stopping = False
+        self.refusing = False
         self._store = StoreClient(settings.store)
         self._peer_address = f"{settings.address}:{settings.ports[0]}"
         self._directory = HostDirectory(
@@ -143,6 +144,9 @@
             self._members.begin_drain()
         self.handle(DrainStarted(now=self.clock(), refuse_new=False))
         await asyncio.sleep(BALANCER_LAG)
+        # What comes now could outlast the grace time; other hosts take it.
+        self.refusing = True
+        self._frontend.close_idle()
         left = self.settings.bounds.grace - STOP_SLACK - (self.clock() - began)
         try:
             async with asyncio.timeout(left):
--- a/src/amaranthferry/gateway/edge.py
+++ b/src/amaranthferry/gateway/edge.py
@@ -35,6 +35,8 @@
 BODY_TIMEOUT: Seconds = 30.0
 #: When a caller should come back to a host that knows no configuration yet.
 BELIEF_RETRY: Seconds = 0.5
+#: When a caller of a stopping host should try the next one.
+OTHER_HOST_RETRY: Seconds = 0.05
 CALLER_STALL_TIMEOUT: Seconds = 30.0
 _log = structlog.get_logger(__name__)
 
@@ -60,7 +62,9 @@
             call, arrival = await self._admit(scope, received, receive, arrived)
         except RequestError as exc:
             self._note_refusal(received, scope, exc)
-            await responder.problem(Problem.from_error(exc), _retry_after(exc))
+            await responder.problem(
+                Problem.from_error(exc), _retry_after(exc, stopping=self._app.refusing)
+            )
             return
         except CallerLeft:
             return
@@ -103,6 +107,8 @@
     ) -> tuple[RoutedCall, RequestArrived]:
         fields = dict(received)
         terms = headers.read_terms(fields)
+        if self._app.refusing:
+            raise _unready("This host is stopping.")
         await self._app.wait_known()
         directory = self._app.config.directory
         if directory is None:
@@ -309,8 +315,10 @@
     )
 
 
-def _retry_after(exc: RequestError) -> Seconds | None:
-    return BELIEF_RETRY if exc.status == 503 else None
+def _retry_after(exc: RequestError, *, stopping: bool) -> Seconds | None:
+    if exc.status != 503:
+        return None
+    return OTHER_HOST_RETRY if stopping else BELIEF_RETRY
 
 
 def _unknown_route() -> RequestError:
--- a/src/amaranthferry/gateway/listener.py
+++ b/src/amaranthferry/gateway/listener.py
@@ -53,10 +53,14 @@
             config=self._config, server_state=self._state, app_state={}
         )
 
+    def close_idle(self) -> None:
+        """Close the connections without a request, and the others after theirs."""
+        for protocol in list(self._state.connections):
+            protocol.shutdown()
+
     async def stop(self) -> None:
         """Close the address and every connection that has no request."""
         if self._server is not None:
             self._server.close()
-        for protocol in list(self._state.connections):
-            protocol.shutdown()
+        self.close_idle()
         await asyncio.sleep(0)
