Test routed requests against stand-ins of the platform

Stand-ins take the store's and the servers' published form with their troubles; the tests run whole entry hosts on loopback. They found that a host alone in its store waited a second for each request, and that with a revocation bound of 1.5 s a host was never ready, since one watch outlasted the time in which it counts as fresh: both mended here.

--- a/src/amaranthferry/gateway/application.py
+++ b/src/amaranthferry/gateway/application.py
@@ -42,8 +42,9 @@
 TICK_PERIOD: Seconds = 0.05
 #: A coordinator that says nothing for so long is not waited for.
 COORDINATOR_SILENCE: Seconds = 0.35
-CONFIG_WAIT: Seconds = 1.5
-SERVER_WAIT: Seconds = 1.5
+#: How long one watch waits; its sending confirms what is believed.
+MAX_WATCH_WAIT: Seconds = 1.5
+WATCH_PART = 0.3
 #: How long the store's list of hosts stands in for membership at a start.
 JOIN_PERIOD: Seconds = 2.0
 #: How long a request waits at a host that has just started.
@@ -92,6 +93,7 @@
         )
         self._members: MembershipAgent | None = None
         self._listed: dict[HostId, str] = {}
+        self._has_list = False
         self._found: dict[HostId, str] = {}
         self._started_at = boot_time()
         self._known = asyncio.Event()
@@ -112,8 +114,9 @@
         _log.info("host.starting", host=self.settings.host, zone=self.settings.zone)
         await self._readiness.start()
         await self._frontend.start()
-        config = KindWatch(self._store, CONFIG_KIND, self.config, wait=CONFIG_WAIT)
-        servers = KindWatch(self._store, SERVER_KIND, self.servers, wait=SERVER_WAIT)
+        wait = min(MAX_WATCH_WAIT, self.settings.bounds.revoke * WATCH_PART)
+        config = KindWatch(self._store, CONFIG_KIND, self.config, wait=wait)
+        servers = KindWatch(self._store, SERVER_KIND, self.servers, wait=wait)
         self.spawn(config.run())
         self.spawn(servers.run())
         self.spawn(self._join())
@@ -249,7 +252,7 @@
 
     def _set_listed(self, hosts: dict[HostId, str]) -> None:
         """Take the hosts that the store lists; the first list stands in at start."""
-        self._listed = hosts
+        self._listed, self._has_list = hosts, True
         if self._members is not None:
             self._members.set_candidates(tuple(hosts.values()))
         if not self._known.is_set():
@@ -280,7 +283,7 @@
 
     def _note_known(self) -> None:
         """Let requests in once the configuration and the other hosts are known."""
-        joined = bool(self._listed) or len(self.state.hosts) > 1
+        joined = self._has_list or len(self.state.hosts) > 1
         if self.config.catalog is not None and joined:
             self._known.set()
 
--- /dev/null
+++ b/tests/gateway/fleet.py
@@ -0,0 +1,246 @@
+"""Run entry hosts for routed requests on loopback, before stand-ins."""
+
+import contextlib
+import random
+import socket
+
+import aiohttp
+from yarl import URL
+
+from amaranthferry.gateway.application import Gateway
+from amaranthferry.platform.settings import HostSettings
+from amaranthferry.standins.metadata import MetadataStore
+from amaranthferry.standins.routed import RoutedServer
+from amaranthferry.standins.serving import serve
+
+KEY = "key-of-field"
+HOST = "desk.example"
+#: Below what kernels hand out to outgoing connections.
+PORTS = (20_000, 32_000)
+
+ROUTES = [
+    {
+        "name": "ask",
+        "host": HOST,
+        "pathPrefix": "/ask/",
+        "type": "streaming",
+        "timeoutMs": 3000,
+        "goalMs": 500,
+        "priority": 1,
+        "service": "engines",
+        "maxAttempts": 2,
+        "resumable": True,
+        "gapGoalMs": 600,
+    },
+    {
+        "name": "review",
+        "host": HOST,
+        "pathPrefix": "/review/",
+        "type": "streaming",
+        "timeoutMs": 3000,
+        "goalMs": 500,
+        "priority": 0,
+        "service": "engines",
+        "maxAttempts": 1,
+        "gapGoalMs": 600,
+    },
+    {
+        "name": "look",
+        "host": HOST,
+        "pathPrefix": "/look/",
+        "type": "safe",
+        "timeoutMs": 2000,
+        "goalMs": 200,
+        "service": "ledger",
+        "maxAttempts": 2,
+    },
+    {
+        "name": "pay",
+        "host": HOST,
+        "pathPrefix": "/pay/",
+        "type": "unsafe",
+        "timeoutMs": 1000,
+        "goalMs": 200,
+        "service": "ledger",
+        "maxAttempts": 1,
+    },
+]
+SERVICES = [
+    {
+        "name": "engines",
+        "healthPath": "/healthz",
+        "maxConnections": 100,
+        "engine": {
+            "slots": 4,
+            "kvCapacity": 100_000,
+            "stride": 5,
+            "models": [{"name": "m"}],
+        },
+    },
+    {"name": "ledger", "healthPath": "/healthz", "maxConnections": 100},
+]
+
+
+def config(version=1, *, routes=ROUTES, keys=(KEY,), rate=0, burst=0, **limits):
+    tenant = {
+        "name": "field",
+        "apiKeys": list(keys),
+        "priority": 1,
+        "unit": "tokens",
+        "uncachedTokens": 200,
+        "ratePerS": rate,
+        "burst": burst,
+    }
+    return {
+        "version": version,
+        "routes": routes,
+        "services": SERVICES,
+        "limits": limits,
+        "tenants": [tenant],
+    }
+
+
+def entry(service, address, *, state="ready", born=1, **fields):
+    return {
+        "service": service,
+        "address": address,
+        "zone": "zone-a",
+        "state": state,
+        "slots": 4,
+        "born": born,
+        "sequence": 1,
+        **fields,
+    }
+
+
+def free_port():
+    """Return a port that no outgoing connection is given by the kernel."""
+    while True:
+        port = random.randrange(*PORTS)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind(("127.0.0.1", port))
+            return port
+
+
+def settings_text(name, store, *, frontend, readiness, peers, **bounds):
+    lines = {
+        "nodeName": name,
+        "zone": "zone-a",
+        "ip": "127.0.0.1",
+        "listen.frontend": f"127.0.0.1:{frontend}",
+        "listen.readiness": f"127.0.0.1:{readiness}",
+        "portRange": f"{peers},{peers}",
+        "platform.address": store,
+        "heartbeatMs": 1000,
+        "bounds.revokeMs": bounds.get("revoke", 5000),
+        "bounds.strictRevoke": "true",
+        "bounds.graceS": bounds.get("grace", 8),
+        "bounds.retryBudgetExtra": 100,
+    }
+    return "".join(f"{key}={value}\n" for key, value in lines.items())
+
+
+class Fleet:
+    """Hold a store, servers and entry hosts that run on loopback."""
+
+    def __init__(self, stack):
+        self._stack = stack
+        self.store = MetadataStore()
+        self.store_address = ""
+        self.servers = {}
+        self.addresses = {}
+        self.hosts = []
+        self.urls = []
+
+    async def open(self, *, engines=2, ledgers=2, hosts=1, spec=None, **bounds):
+        url = await self._stack.enter_async_context(serve(self.store.app))
+        self.store_address = url.removeprefix("http://")
+        await self.store.put("config", "main", spec or config())
+        for number in range(engines):
+            await self.add_server("engines", f"engine-{number}")
+        for number in range(ledgers):
+            await self.add_server("ledger", f"ledger-{number}")
+        for number in range(hosts):
+            await self.add_host(f"host-{number}", **bounds)
+        return self
+
+    async def add_server(self, service, name):
+        server = RoutedServer(name)
+        url = await self._stack.enter_async_context(serve(server))
+        self.servers[name] = server
+        self.addresses[name] = url.removeprefix("http://")
+        await self.store.put("servers", name, entry(service, self.addresses[name]))
+        return server
+
+    async def add_host(self, name, **bounds):
+        frontend, readiness, peers = free_port(), free_port(), free_port()
+        text = settings_text(
+            name,
+            self.store_address,
+            frontend=frontend,
+            readiness=readiness,
+            peers=peers,
+            **bounds,
+        )
+        app = Gateway.from_config(HostSettings.from_text(text))
+        await app.start()
+        self._stack.push_async_callback(app.stop)
+        self.hosts.append(app)
+        self.urls.append(f"http://127.0.0.1:{frontend}")
+        return app
+
+    def ran(self, attempt):
+        """Return the servers that ran an attempt, in order."""
+        return [
+            name
+            for name, server in self.servers.items()
+            for seen in server.ran
+            if seen.attempt == attempt
+        ]
+
+    def seen(self, attempt):
+        """Return an attempt as the servers read it."""
+        return [
+            seen
+            for server in self.servers.values()
+            for seen in server.ran
+            if seen.attempt == attempt
+        ]
+
+
+class Caller:
+    """Send requests as the platform's clients do, each on a new connection."""
+
+    def __init__(self, fleet):
+        self._fleet = fleet
+        self._count = 0
+
+    async def send(self, method, path, *, host=0, key=KEY, deadline=2.0, **options):
+        self._count += 1
+        attempt = options.pop("attempt", f"attempt-{self._count}")
+        headers = {
+            "Host": HOST,
+            "X-Amaranthferry-Attempt-Id": attempt,
+            "X-Amaranthferry-Deadline-Ms": str(int(deadline * 1000)),
+            "X-Amaranthferry-Key": key,
+            **options.pop("headers", {}),
+        }
+        connector = aiohttp.TCPConnector(force_close=True)
+        async with aiohttp.ClientSession(connector=connector) as session:
+            url = URL(self._fleet.urls[host] + path, encoded=True)
+            async with session.request(
+                method, url, headers=headers, **options
+            ) as answer:
+                body = await answer.read()
+                return attempt, answer.status, answer.headers, body
+
+    async def ask(self, path="/ask/one", *, tokens="100,20", **options):
+        headers = {"X-Amaranthferry-Model": "m", "X-Amaranthferry-Token-Usage": tokens}
+        return await self.send("POST", path, headers=headers, data=b"text", **options)
+
+
+@contextlib.asynccontextmanager
+async def fleet(**options):
+    async with contextlib.AsyncExitStack() as stack:
+        running = await Fleet(stack).open(**options)
+        yield running, Caller(running)
--- /dev/null
+++ b/tests/gateway/test_application.py
@@ -0,0 +1,279 @@
+import asyncio
+
+import aiohttp
+import pytest
+
+from amaranthferry.standins.metadata import StoreTrouble
+from amaranthferry.standins.routed import ServerFault
+
+from .fleet import KEY, ROUTES, config, entry, fleet
+
+STREAM = b"id: 0\ndata: 0\n\nid: 1\ndata: 1\n\nid: 2\ndata: 2\n\n"
+
+
+async def until(condition, *, seconds=10):
+    async with asyncio.timeout(seconds):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+async def test_plain_request_reaches_its_service_unchanged():
+    async with fleet() as (system, caller):
+        attempt, status, headers, body = await caller.send(
+            "GET", "/look/a%20b/c?x=1&y=%2F"
+        )
+        assert status == 200
+        assert headers["X-Amaranthferry-Server-Signature"] == f"signed-{body.decode()}"
+        (seen,) = system.seen(attempt)
+        assert seen.target == "/look/a%20b/c?x=1&y=%2F"
+        assert seen.headers["x-amaranthferry-tenant"] == "field"
+        assert seen.headers["x-amaranthferry-expect-instance"] == body.decode()
+        assert "x-amaranthferry-key" not in seen.headers
+        assert 0 < int(seen.headers["x-amaranthferry-deadline-ms"]) <= 2000
+
+
+async def test_stream_comes_whole_and_signed():
+    async with fleet() as (system, caller):
+        attempt, status, headers, body = await caller.ask()
+        assert (status, body) == (200, STREAM)
+        assert headers["X-Amaranthferry-Attempt-Id"] == attempt
+        assert "X-Amaranthferry-Server-Signature" in headers
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "status"),
+    [("/none/x", KEY, 404), ("/look/x", "wrong", 401), ("/look/x", KEY, 200)],
+)
+async def test_route_and_key_are_checked(path, key, status):
+    async with fleet() as (system, caller):
+        attempt, found, _, _ = await caller.send("GET", path, key=key)
+        assert found == status
+        assert bool(system.ran(attempt)) == (status == 200)
+
+
+async def test_headers_that_only_the_system_sets_are_dropped():
+    async with fleet() as (system, caller):
+        attempt, *_ = await caller.send(
+            "GET",
+            "/look/x",
+            headers={
+                "X-Amaranthferry-Tenant": "other",
+                "X-Amaranthferry-Retain": "1",
+                "X-Amaranthferry-Pin-Ms": "1",
+                "Kv-From": "1.2.3.4:5/6",
+            },
+        )
+        (seen,) = system.seen(attempt)
+        assert seen.headers["x-amaranthferry-tenant"] == "field"
+        for name in ("x-amaranthferry-retain", "x-amaranthferry-pin-ms", "kv-from"):
+            assert name not in seen.headers
+
+
+async def test_safe_request_is_sent_on_after_a_failure():
+    async with fleet() as (system, caller):
+        system.servers["ledger-0"].fault = ServerFault.ERROR
+        for _ in range(6):
+            _, status, _, body = await caller.send("GET", "/look/x")
+            assert (status, body) == (200, b"ledger-1")
+
+
+@pytest.mark.parametrize(
+    "fault", [ServerFault.RESET_AFTER_RUN, ServerFault.ERROR, ServerFault.UNSIGNED]
+)
+async def test_unsafe_request_runs_at_most_once(fault):
+    async with fleet() as (system, caller):
+        for server in system.servers.values():
+            server.fault = fault
+        attempt, status, headers, _ = await caller.send("POST", "/pay/x", data=b"10")
+        assert status in (500, 502)
+        assert len(system.ran(attempt)) == 1
+        assert "Retry-After" not in headers
+
+
+async def test_server_that_did_not_run_it_makes_a_true_refusal():
+    async with fleet() as (system, caller):
+        for server in system.servers.values():
+            server.fault = ServerFault.FULL
+        attempt, status, headers, _ = await caller.send("POST", "/pay/x", data=b"10")
+        assert status == 503
+        assert float(headers["Retry-After"]) > 0
+        assert system.ran(attempt) == []
+
+
+async def test_answer_of_another_request_is_not_passed_on():
+    async with fleet() as (system, caller):
+        for server in system.servers.values():
+            server.fault = ServerFault.CROSSED
+        _, status, _, _ = await caller.send("POST", "/pay/x", data=b"10")
+        assert status == 502
+
+
+async def test_resumable_stream_goes_on_at_another_server():
+    async with fleet() as (system, caller):
+        system.servers["engine-0"].fault = ServerFault.CUT_STREAM
+        for _ in range(4):
+            attempt, status, _, body = await caller.ask()
+            assert (status, body) == (200, STREAM)
+        assert any(len(system.ran(f"attempt-{n}")) == 2 for n in range(1, 5))
+
+
+async def test_stream_that_may_not_resume_is_broken_off():
+    async with fleet(engines=1) as (system, caller):
+        system.servers["engine-0"].fault = ServerFault.CUT_STREAM
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await caller.ask("/review/one")
+        assert len(system.ran("attempt-1")) == 1
+
+
+async def test_request_is_answered_when_its_time_is_up():
+    async with fleet() as (system, caller):
+        for server in system.servers.values():
+            server.fault = ServerFault.MUTE
+        began = asyncio.get_running_loop().time()
+        attempt, status, _, _ = await caller.send(
+            "POST", "/pay/x", data=b"1", deadline=5.0
+        )
+        assert status == 504
+        assert asyncio.get_running_loop().time() - began < 1.4
+        assert len(system.ran(attempt)) == 1
+
+
+async def test_caller_that_leaves_ends_its_work_at_the_server():
+    async with fleet() as (system, caller):
+        for server in system.servers.values():
+            server.fault = ServerFault.MUTE
+        with pytest.raises(asyncio.TimeoutError):
+            await caller.ask("/review/one", timeout=aiohttp.ClientTimeout(total=0.2))
+        await until(lambda: not system.hosts[0].exchanges)
+        assert system.hosts[0].state.requests == {}
+
+
+async def test_reused_address_runs_nothing_of_the_server_before():
+    async with fleet(ledgers=1) as (system, caller):
+        system.servers["ledger-0"].name = "another"
+        attempt, status, _, _ = await caller.send("POST", "/pay/x", data=b"1")
+        assert status == 503
+        assert system.ran(attempt) == []
+
+
+async def test_leaving_server_gets_nothing_new():
+    async with fleet() as (system, caller):
+        address = system.addresses["ledger-0"]
+        await system.store.put(
+            "servers", "ledger-0", entry("ledger", address, state="draining")
+        )
+        await until(lambda: "ledger-0" not in system.hosts[0].state.deployment.servers)
+        for _ in range(5):
+            _, _, _, body = await caller.send("GET", "/look/x")
+            assert body == b"ledger-1"
+
+
+async def test_new_configuration_is_in_force_and_an_older_one_never_again():
+    async with fleet() as (system, caller):
+        await caller.send("GET", "/look/x")
+        await system.store.put("config", "main", config(5, routes=ROUTES[:2]))
+        await until(lambda: system.hosts[0].config.catalog.version == 5)
+        assert (await caller.send("GET", "/look/x"))[1] == 404
+        await system.store.put("config", "main", config(4))
+        await asyncio.sleep(0.2)
+        assert (await caller.send("GET", "/look/x"))[1] == 404
+
+
+async def test_unreadable_configuration_leaves_the_one_before():
+    async with fleet() as (system, caller):
+        await caller.send("GET", "/look/x")
+        await system.store.put("config", "main", {"version": "x"})
+        await system.store.put("servers", "broken", {"service": 7})
+        await asyncio.sleep(0.2)
+        assert (await caller.send("GET", "/look/x"))[1] == 200
+
+
+async def test_quota_refuses_with_a_time_to_return():
+    spec = config(rate=100, burst=300)
+    async with fleet(spec=spec) as (system, caller):
+        answers = [await caller.ask(tokens="100,50") for _ in range(4)]
+        statuses = [status for _, status, _, _ in answers]
+        assert statuses == [200, 200, 429, 429]
+        assert 0 < float(answers[2][2]["Retry-After"]) <= 1.5
+        assert system.ran(answers[2][0]) == []
+
+
+async def test_revoked_key_is_refused_also_while_the_store_is_away():
+    async with fleet(revoke=1500) as (system, caller):
+        assert (await caller.send("GET", "/look/x"))[1] == 200
+        system.store.trouble = StoreTrouble.BUSY
+        await until(
+            lambda: (
+                not system.hosts[0].config.freshness.is_current(system.hosts[0].clock())
+            )
+        )
+        attempt, status, headers, _ = await caller.send("GET", "/look/x")
+        assert status == 503
+        assert "Retry-After" in headers
+        assert system.ran(attempt) == []
+        assert not system.hosts[0].is_ready
+        system.store.trouble = StoreTrouble.NONE
+        await until(lambda: system.hosts[0].is_ready)
+        assert (await caller.send("GET", "/look/x"))[1] == 200
+
+
+@pytest.mark.parametrize(
+    "trouble", [StoreTrouble.BUSY, StoreTrouble.RESET, StoreTrouble.SILENT]
+)
+async def test_short_outage_of_the_store_is_not_seen_by_callers(trouble):
+    async with fleet() as (system, caller):
+        await caller.send("GET", "/look/x")
+        system.store.trouble = trouble
+        for _ in range(10):
+            assert (await caller.send("GET", "/look/x"))[1] == 200
+            await asyncio.sleep(0.05)
+        system.store.trouble = StoreTrouble.NONE
+
+
+async def test_forgotten_history_is_listed_anew():
+    async with fleet() as (system, caller):
+        await caller.send("GET", "/look/x")
+        system.store.forget_history()
+        await system.store.put("config", "main", config(7, routes=ROUTES[:2]))
+        system.store.forget_history()
+        await until(lambda: system.hosts[0].config.catalog.version == 7)
+
+
+async def test_planned_stop_finishes_what_runs_and_refuses_what_comes_late():
+    async with fleet() as (system, caller):
+        for server in system.servers.values():
+            server.gap = 0.9
+        running = asyncio.create_task(caller.ask(deadline=10))
+        await until(lambda: system.ran("attempt-1"))
+        stopping = asyncio.create_task(system.hosts[0].drain())
+        await asyncio.sleep(0)
+        assert not system.hosts[0].is_ready
+        _, status, headers, _ = await caller.send("GET", "/look/x")
+        assert (status, headers["Connection"]) == (200, "close")
+        await until(lambda: system.hosts[0].refusing)
+        attempt, status, headers, _ = await caller.send("GET", "/look/x")
+        assert (status, system.ran(attempt)) == (503, [])
+        assert float(headers["Retry-After"]) < 0.5
+        assert (await running)[3] == STREAM
+        await stopping
+
+
+async def test_hosts_ask_one_coordinator():
+    async with fleet(hosts=3) as (system, caller):
+        await until(lambda: all(len(h.state.hosts) == 3 for h in system.hosts))
+        for host in range(3):
+            assert (await caller.ask(host=host))[1] == 200
+        chosen = {h.state.coordinator_of("engines/0") for h in system.hosts}
+        assert len(chosen) == 1
+
+
+async def test_lost_coordinator_costs_little_time():
+    async with fleet(hosts=3) as (system, caller):
+        await until(lambda: all(len(h.state.hosts) == 3 for h in system.hosts))
+        name = system.hosts[0].state.coordinator_of("engines/0")
+        lost = next(h for h in system.hosts if h.settings.host == name)
+        other = next(n for n, h in enumerate(system.hosts) if h is not lost)
+        await lost.stop()
+        began = asyncio.get_running_loop().time()
+        assert (await caller.ask(host=other))[1] == 200
+        assert asyncio.get_running_loop().time() - began < 1.0
