--- a/src/amaranthferry/objectives.py
+++ b/src/amaranthferry/objectives.py
@@ -25,10 +25,6 @@
 #: Part of the servers' time that each rank gets at least, and the time it is taken over.
 MINIMUM_SHARE = 0.08
 SHARE_WINDOW: Seconds = 4.0
-#: Waiters of lower ranks that are weighed in one pass.
-MAX_SPARED = 8
-#: How much slower than of late places may come free without harm to those above.
-SPARE_MARGIN = 4.0
 
 Level = tuple[int, int]
 
@@ -63,21 +59,16 @@
         return iter([self._waiters[self._ids[place.sequence]] for place in places])
 
     def in_turn(self, shares: "MinimumShares", now: Seconds) -> list[Waiter]:
-        """Return the waiters in order.
-
-        Ranks that are short of their part go first, then lower work whose time runs
-        out while all that is above it can wait for another place.
-        """
+        """Return the waiters in order; ranks that are short of their part go first."""
         levels = {place[:2] for place in self._order}
         short = {level for level in levels if shares.is_short(level, now)}
-        first = [p for p in self._order if p[:2] in short and not p.late]
-        others = [p for p in self._order if p[:2] not in short or p.late]
-        spared = _spared(others, shares.interval(now), now)
-        rest = [place for place in others if place not in spared]
-        return [
-            self._waiters[self._ids[place.sequence]]
-            for place in (*first, *spared, *rest)
-        ]
+        first: list[Waiter] = []
+        others: list[Waiter] = []
+        for place in self._order:
+            waiter = self._waiters[self._ids[place.sequence]]
+            ahead = place[:2] in short and not place.late
+            (first if ahead else others).append(waiter)
+        return first + others
 
     def get(self, request_id: RequestId) -> Waiter | None:
         """Return a waiter by its request id."""
@@ -149,27 +140,6 @@
         return self._waiters[self._ids[self._order[-1].sequence]]
 
 
-def _spared(places: list[_Place], interval: Seconds, now: Seconds) -> list[_Place]:
-    """Return lower work that may go first without making any above it late.
-
-    Places come free one an `interval`; those above take them by their latest start.
-    """
-    timely = [place for place in places if not place.late]
-    if not timely or timely[0][:2] == timely[-1][:2]:
-        return []
-    spared: list[_Place] = []
-    by_time = sorted(timely, key=lambda place: place.latest_start)
-    for place in by_time[:MAX_SPARED]:
-        above = [p for p in by_time if p[:2] < place[:2]]
-        ahead = len(spared) + 1
-        if all(
-            now + (ahead + index) * interval * SPARE_MARGIN <= other.latest_start
-            for index, other in enumerate(above)
-        ):
-            spared.append(place)
-    return spared
-
-
 class MinimumShares:
     """Keep a small part of the servers' time for each rank that asks for it.
 
@@ -178,21 +148,11 @@
 
     def __init__(self) -> None:
         self._granted: dict[Level, tuple[float, Seconds]] = {}
-        self._grants: tuple[float, Seconds] = (0.0, 0.0)
 
     def note(self, level: Level, cost: Seconds, now: Seconds) -> None:
         """Count the cost of a grant."""
-        self._grants = (self._count(now) + 1.0, now)
         self._granted[level] = (self._weight(level, now) + cost, now)
 
-    def interval(self, now: Seconds) -> Seconds:
-        """Return the mean time between grants of late."""
-        return SHARE_WINDOW / max(1.0, self._count(now))
-
-    def _count(self, now: Seconds) -> float:
-        count, at = self._grants
-        return count * exp(-max(0.0, now - at) / SHARE_WINDOW)
-
     def is_short(self, level: Level, now: Seconds) -> bool:
         """Tell whether a rank has had less than its part of late."""
         total = sum(self._weight(other, now) for other in self._granted)
