Let two hosts read the store, and pass on what they find

Change: two hosts, chosen alike everywhere, watch in turns of 0.16 of the revocation bound; the others ask one of them every 0.8 s and believe the answer to be as old as the read behind it plus the time since the ask. Changes go out at once; large ones are only announced. A host that gets no fresh answer reads by itself.

--- a/src/amaranthferry/codec.py
+++ b/src/amaranthferry/codec.py
@@ -17,6 +17,8 @@
     | messages.Registration
     | messages.ShardAdvert
     | messages.CoordinatorLeaving
+    | messages.NewsAsk
+    | messages.News
     | messages.ServerNotice
     | settings_messages.SettingsAsk
     | settings_messages.SettingsTell
--- a/src/amaranthferry/gateway/application.py
+++ b/src/amaranthferry/gateway/application.py
@@ -23,7 +23,7 @@
     Ticked,
 )
 from ..membership import Member, MembershipAgent
-from ..messages import Message
+from ..messages import Message, News, NewsAsk
 from ..peers import PeerNetwork
 from ..platform.desired import CONFIG_KIND, SERVER_KIND
 from ..platform.settings import HostSettings
@@ -35,16 +35,18 @@
 from .exchange import RoutedExchange
 from .freshness import Freshness, boot_time
 from .listener import Listener
+from .news import NewsDesk
 from .performer import Performer
 from .presence import HostDirectory
-from .watching import KindWatch
+from .watching import KindBelief, KindReader
 
 TICK_PERIOD: Seconds = 0.05
 #: A coordinator that says nothing for so long is not waited for.
 COORDINATOR_SILENCE: Seconds = 0.35
-#: How long one watch waits; its sending confirms what is believed.
-MAX_WATCH_WAIT: Seconds = 1.5
-WATCH_PART = 0.3
+#: How long one watch waits, as a part of the bound on stale keys. What it confirms
+#: is as old as its sending, so between one and two waits.
+MAX_WATCH_WAIT: Seconds = 0.8
+WATCH_PART = 0.16
 #: How long the store's list of hosts stands in for membership at a start.
 JOIN_PERIOD: Seconds = 2.0
 #: How long a request waits at a host that has just started.
@@ -76,9 +78,8 @@
             coordinator_timeout=COORDINATOR_SILENCE,
         )
         self.exchanges: dict[RequestId, RoutedExchange] = {}
-        self.config = ConfigBelief(
-            Freshness(settings.bounds.revoke), self._apply_config
-        )
+        self.config = ConfigBelief(self._apply_config)
+        self.freshness = Freshness(settings.bounds.revoke)
         self.servers = ServerBelief(self._apply_deployment)
         self.peers: PeerNetwork | None = None
         self.stopping = False
@@ -98,6 +99,7 @@
         self._started_at = boot_time()
         self._known = asyncio.Event()
         self._performer = Performer(self)
+        self._desks = self._open_desks()
         self._frontend = Listener(Edge(self), settings.frontend)
         self._readiness = Listener(self._answer_readiness, settings.readiness)
         self._tasks: set[asyncio.Task[None]] = set()
@@ -109,16 +111,35 @@
         """Build an entry host from its settings."""
         return cls(settings)
 
+    def _open_desks(self) -> dict[str, NewsDesk]:
+        beliefs = (
+            KindBelief(CONFIG_KIND, self.config, self.freshness),
+            KindBelief(
+                SERVER_KIND, self.servers, Freshness(self.settings.bounds.revoke)
+            ),
+        )
+        wait = min(MAX_WATCH_WAIT, self.settings.bounds.revoke * WATCH_PART)
+        return {
+            belief.kind: NewsDesk(
+                self.settings.host,
+                belief,
+                KindReader(self._store, belief),
+                self._send,
+                wait=wait,
+            )
+            for belief in beliefs
+        }
+
+    def _send(self, host: HostId, message: Message) -> bool:
+        return self.peers is not None and self.peers.send(host, message)
+
     async def start(self) -> None:
         """Listen, and begin to learn what to serve."""
         _log.info("host.starting", host=self.settings.host, zone=self.settings.zone)
         await self._readiness.start()
         await self._frontend.start()
-        wait = min(MAX_WATCH_WAIT, self.settings.bounds.revoke * WATCH_PART)
-        config = KindWatch(self._store, CONFIG_KIND, self.config, wait=wait)
-        servers = KindWatch(self._store, SERVER_KIND, self.servers, wait=wait)
-        self.spawn(config.run())
-        self.spawn(servers.run())
+        for desk in self._desks.values():
+            self.spawn(desk.run())
         self.spawn(self._join())
         self.spawn(self._tick())
 
@@ -182,7 +203,7 @@
     def is_ready(self) -> bool:
         """Tell whether the balancer may send new connections here."""
         known = self.config.directory is not None and bool(self.state.deployment.pools)
-        fresh = self.config.freshness.is_ready(self.clock())
+        fresh = self.freshness.is_ready(self.clock())
         return known and fresh and not self.stopping
 
     def spawn(self, work: "asyncio._CoroutineLike[None]") -> "asyncio.Task[None]":
@@ -244,6 +265,11 @@
         self.handle(gone)
 
     def _receive(self, sender: HostId, message: Message) -> None:
+        if isinstance(message, News | NewsAsk):
+            desk = self._desks.get(message.kind)
+            if desk is not None:
+                desk.receive(sender, message)
+            return
         self.handle(PeerReceived(now=self.clock(), sender=sender, message=message))
 
     def _lose_peer(self, host: HostId) -> None:
@@ -276,6 +302,8 @@
         changed = len(hosts) != len(self.state.hosts)
         if hosts != self.state.hosts or draining != self.state.draining_hosts:
             _log.info("peers.changed", hosts=len(hosts), draining=len(draining))
+        for desk in self._desks.values():
+            desk.set_hosts(host for host in hosts if host not in draining)
         self.handle(MembersChanged(now=self.clock(), hosts=hosts, draining=draining))
         if changed:
             self._apply_deployment()
--- a/src/amaranthferry/gateway/beliefs.py
+++ b/src/amaranthferry/gateway/beliefs.py
@@ -1,15 +1,15 @@
-"""Hold what this host believes: the configuration, the servers and their age."""
+"""Hold what this host believes: the configuration and the servers."""
 
 from collections.abc import Callable
 
 import structlog
 
-from ..catalog import Catalog, Directory
+from ..catalog import Catalog, Directory, Instance
 from ..exceptions import SettingsError
+from ..messages import ObjectChange
 from ..platform.desired import CONFIG_NAME, read_catalog, read_instance
-from ..platform.store import Changes, Listing, StoredObject
-from ..types import Seconds, ServerId
-from .freshness import Freshness, boot_time
+from ..types import ServerId
+from .freshness import boot_time
 from .roster import ServerRoster
 
 _log = structlog.get_logger(__name__)
@@ -18,9 +18,8 @@
 class ConfigBelief:
     """Follow the configuration; an older version never replaces a newer one."""
 
-    def __init__(self, freshness: Freshness, on_catalog: Callable[[], None]) -> None:
+    def __init__(self, on_catalog: Callable[[], None]) -> None:
         self.directory: Directory | None = None
-        self.freshness = freshness
         self._on_catalog = on_catalog
 
     @property
@@ -28,22 +27,21 @@
         """Return the configuration in force."""
         return None if self.directory is None else self.directory.catalog
 
-    def listed(self, listing: Listing, sent: Seconds) -> None:
+    def replace(self, objects: list[ObjectChange]) -> None:
         """Take the listed configuration."""
-        for item in listing.entries:
-            self._take(item)
-        self.freshness.confirm(sent)
-
-    def changed(self, changes: Changes, sent: Seconds) -> None:
-        """Take a changed configuration."""
-        for change in changes.events:
-            if not change.deleted:
-                self._take(change.object)
-        self.freshness.confirm(sent)
-
-    def _take(self, item: StoredObject) -> None:
-        if item.metadata.name != CONFIG_NAME:
-            return
+        self.apply(objects)
+
+    def apply(self, changes: list[ObjectChange]) -> None:
+        """Take a changed configuration; only the newest counts."""
+        found = [
+            change
+            for change in changes
+            if change.name == CONFIG_NAME and not change.deleted
+        ]
+        if found:
+            self._take(max(found, key=lambda change: change.revision))
+
+    def _take(self, item: ObjectChange) -> None:
         try:
             catalog = read_catalog(item.spec)
         except SettingsError as exc:
@@ -57,7 +55,7 @@
             "config.applied",
             version=catalog.version,
             routes=len(catalog.routes),
-            revision=item.metadata.revision,
+            revision=item.revision,
         )
         self._on_catalog()
 
@@ -75,25 +73,21 @@
         self.roster = ServerRoster()
         self._on_servers = on_servers
 
-    def listed(self, listing: Listing, sent: Seconds) -> None:
+    def replace(self, objects: list[ObjectChange]) -> None:
         """Take all entries; one that can't be read names no server."""
-        instances = []
-        for item in listing.entries:
-            instance = read_instance(item.metadata.name, item.spec)
-            if instance is not None:
-                instances.append(instance)
+        found = (_instance(item) for item in objects)
+        instances = [instance for instance in found if instance is not None]
         self._report(self.roster.replace(instances, boot_time()))
 
-    def changed(self, changes: Changes, sent: Seconds) -> None:
+    def apply(self, changes: list[ObjectChange]) -> None:
         """Take changed entries."""
-        moved = [self._take(change.object, change.deleted) for change in changes.events]
+        moved = [self._take(change) for change in changes]
         self._report(any(moved))
 
-    def _take(self, item: StoredObject, deleted: bool) -> bool:
-        name = ServerId(item.metadata.name)
-        instance = None if deleted else read_instance(name, item.spec)
+    def _take(self, change: ObjectChange) -> bool:
+        instance = None if change.deleted else _instance(change)
         if instance is None:
-            return self.roster.remove(name, boot_time())
+            return self.roster.remove(ServerId(change.name), boot_time())
         return self.roster.put(instance)
 
     def expire(self) -> None:
@@ -111,3 +105,10 @@
     def store_back(self) -> None:
         """Take the store's return."""
         self.roster.store_back(boot_time())
+
+
+def _instance(item: ObjectChange) -> Instance | None:
+    instance = read_instance(item.name, item.spec)
+    if instance is None:
+        _log.warning("server_entry.unreadable", name=item.name, revision=item.revision)
+    return instance
--- a/src/amaranthferry/gateway/edge.py
+++ b/src/amaranthferry/gateway/edge.py
@@ -81,7 +81,7 @@
         self, received: list[tuple[str, str]], scope: Scope, exc: RequestError
     ) -> None:
         terms = headers.read_terms(dict(received))
-        age = self._app.config.freshness.age(self._app.clock())
+        age = self._app.freshness.age(self._app.clock())
         catalog = self._app.config.catalog
         _log.info(
             "request.refused",
@@ -170,7 +170,7 @@
         assert directory is not None
         if not directory.needs_key or route.public:
             return None
-        if not self._app.config.freshness.is_current(now):
+        if not self._app.freshness.is_current(now):
             raise _unready("This host can't tell whether its keys are current.")
         subscriber = directory.subscriber(terms.key)
         if subscriber is None:
--- a/src/amaranthferry/gateway/watching.py
+++ b/src/amaranthferry/gateway/watching.py
@@ -1,29 +1,34 @@
-"""Follow one kind of objects in the store: list once, then watch the changes."""
+"""Follow one kind of objects in the store, and keep what peers may ask for."""
 
 import asyncio
 import random
+from collections import deque
+from collections.abc import Callable
 from typing import Protocol
 
 import structlog
 
 from ..exceptions import AmaranthferryError
-from ..platform.store import Changes, HistoryGone, Listing, StoreClient
+from ..messages import ObjectChange
+from ..platform.store import Changes, HistoryGone, Listing, StoreClient, StoredObject
 from ..types import Seconds
-from .freshness import boot_time
+from .freshness import Freshness, boot_time
 
 FIRST_PAUSE: Seconds = 0.1
 MAX_PAUSE: Seconds = 0.5
+#: Changes that are kept for peers; one that lacks more reads the store itself.
+MAX_KEPT_CHANGES = 256
 _log = structlog.get_logger(__name__)
 
 
-class WatchOwner(Protocol):
-    """Take what a watch finds; `sent` is when the read was sent."""
+class BeliefOwner(Protocol):
+    """Take what reads of a kind find."""
 
-    def listed(self, listing: Listing, sent: Seconds) -> None:
+    def replace(self, objects: list[ObjectChange]) -> None:
         """Take all objects of the kind."""
 
-    def changed(self, changes: Changes, sent: Seconds) -> None:
-        """Take the changes since, which may be none."""
+    def apply(self, changes: list[ObjectChange]) -> None:
+        """Take the changes since."""
 
     def store_away(self) -> None:
         """Take a failed read."""
@@ -32,53 +37,122 @@
         """Take the first read after failed ones, before its result."""
 
 
-class KindWatch:
-    """Run the reads of one kind for one owner."""
+class KindBelief:
+    """Hold how far a kind is known, what changed of late and how old that is."""
 
-    def __init__(
-        self, store: StoreClient, kind: str, owner: WatchOwner, *, wait: Seconds
-    ) -> None:
-        self._store = store
-        self._kind = kind
+    def __init__(self, kind: str, owner: BeliefOwner, freshness: Freshness) -> None:
+        self.kind = kind
+        self.freshness = freshness
+        self.revision: int | None = None
+        self.on_change: Callable[[int], None] = lambda since: None
         self._owner = owner
-        self._wait = wait
-        self._revision: int | None = None
+        self._changes: deque[ObjectChange] = deque(maxlen=MAX_KEPT_CHANGES)
+        self._floor = 0
+        self._away = False
+
+    def take_list(self, listing: Listing, sent: Seconds) -> None:
+        """Take a whole list that a read sent at a time brought."""
+        self._come_back()
+        if self.revision is None or listing.revision >= self.revision:
+            self._changes.clear()
+            self._floor = self.revision = listing.revision
+            self._owner.replace([_change(item) for item in listing.entries])
+        self.freshness.confirm(sent)
+
+    def take_changes(self, changes: Changes, sent: Seconds) -> None:
+        """Take the changes that a watch sent at a time brought."""
+        self._come_back()
+        found = [_change(item.object, item.deleted) for item in changes.events]
+        self.advance(found, changes.at)
+        self.freshness.confirm(sent)
+
+    def advance(self, changes: list[ObjectChange], revision: int) -> None:
+        """Apply changes that lead to a revision; known ones change nothing."""
+        before = self.revision or 0
+        fresh = [change for change in changes if change.revision > before]
+        self.revision = max(before, revision)
+        if not fresh:
+            return
+        # Whoever knows the change before these needs no other: the store's revision
+        # also counts the changes of other kinds.
+        since = self._changes[-1].revision if self._changes else self._floor
+        self._keep(fresh)
+        self._owner.apply(fresh)
+        self.on_change(since)
+
+    def _keep(self, changes: list[ObjectChange]) -> None:
+        for change in changes:
+            if len(self._changes) == MAX_KEPT_CHANGES:
+                self._floor = self._changes[0].revision
+            self._changes.append(change)
+
+    def changes_since(self, revision: int) -> tuple[ObjectChange, ...] | None:
+        """Return the changes after a revision, or None if they are not kept."""
+        if self.revision is None or revision < self._floor:
+            return None
+        return tuple(c for c in self._changes if c.revision > revision)
+
+    def fail(self, problem: str) -> None:
+        """Note that the store can't be read from here."""
+        if not self._away:
+            _log.warning("store.lost", kind=self.kind, problem=problem)
+            self._away = True
+        self._owner.store_away()
+
+    def _come_back(self) -> None:
+        if self._away:
+            _log.info("store.regained", kind=self.kind)
+            self._away = False
+            self._owner.store_back()
+
+
+class KindReader:
+    """Read one kind from the store: once, or for as long as this host is a reader."""
+
+    def __init__(self, store: StoreClient, belief: KindBelief) -> None:
+        self._store = store
+        self._belief = belief
         self._failures = 0
 
-    async def run(self) -> None:
+    async def watch(self, wait: Seconds) -> None:
         """Read for ever; a failed read is tried again after a short pause."""
         while True:
-            try:
-                await self._read()
-            except HistoryGone:
-                _log.info("watch.history_gone", kind=self._kind)
-                self._revision = None
-            except AmaranthferryError as exc:
-                self._fail(exc)
+            if not await self.read(wait):
                 pause = min(MAX_PAUSE, FIRST_PAUSE * 2 ** min(self._failures, 8))
                 await asyncio.sleep(random.uniform(pause / 2, pause))
 
-    async def _read(self) -> None:
+    async def read(self, wait: Seconds = 0.0) -> bool:
+        """Make one read, and tell whether it succeeded."""
+        belief = self._belief
         sent = boot_time()
-        if self._revision is None:
-            listing = await self._store.list(self._kind)
-            self._succeed()
-            self._revision = listing.revision
-            self._owner.listed(listing, sent)
-            return
-        changes = await self._store.watch(self._kind, self._revision, wait=self._wait)
-        self._succeed()
-        self._revision = max(changes.at, self._revision)
-        self._owner.changed(changes, sent)
-
-    def _succeed(self) -> None:
-        if self._failures:
-            _log.info("store.regained", kind=self._kind, failures=self._failures)
-            self._failures = 0
-            self._owner.store_back()
+        try:
+            if belief.revision is None:
+                belief.take_list(await self._store.list(belief.kind), sent)
+            else:
+                changes = await self._store.watch(
+                    belief.kind, belief.revision, wait=wait
+                )
+                belief.take_changes(changes, sent)
+        except HistoryGone:
+            _log.info("watch.history_gone", kind=belief.kind)
+            return await self._list_anew()
+        except AmaranthferryError as exc:
+            self._failures += 1
+            belief.fail(exc.message)
+            return False
+        self._failures = 0
+        return True
 
-    def _fail(self, exc: AmaranthferryError) -> None:
-        if not self._failures:
-            _log.warning("store.lost", kind=self._kind, problem=exc.message)
-        self._failures += 1
-        self._owner.store_away()
+    async def _list_anew(self) -> bool:
+        sent = boot_time()
+        try:
+            self._belief.take_list(await self._store.list(self._belief.kind), sent)
+        except AmaranthferryError as exc:
+            self._failures += 1
+            self._belief.fail(exc.message)
+            return False
+        return True
+
+
+def _change(item: StoredObject, deleted: bool = False) -> ObjectChange:
+    return ObjectChange(item.name, item.revision, deleted, item.spec)
--- a/src/amaranthferry/messages.py
+++ b/src/amaranthferry/messages.py
@@ -1,5 +1,7 @@
 """Define the permit messages that entry hosts and coordinators exchange."""
 
+from typing import Any
+
 import msgspec
 
 from .types import (
@@ -132,6 +134,39 @@
     waits: tuple[Seconds, ...]
 
 
+class NewsAsk(Message, frozen=True, tag="news_ask"):
+    """Ask a reader of the store for the changes of a kind since a revision."""
+
+    number: int
+    kind: str
+    revision: int
+
+
+class ObjectChange(msgspec.Struct, frozen=True, array_like=True):
+    """Hold one change of a stored object."""
+
+    name: str
+    revision: int
+    deleted: bool
+    spec: Any = None
+
+
+class News(Message, frozen=True, tag="news"):
+    """Pass on what the store said of a kind.
+
+    The changes lead from `since` to `revision`; without them the receiver is to read
+    the store itself. An answer carries the number of its ask and the age of the read
+    that confirmed it; what is sent unasked has the number 0 and confirms nothing.
+    """
+
+    number: int
+    kind: str
+    since: int
+    revision: int
+    age: Seconds
+    changes: tuple[ObjectChange, ...] | None = ()
+
+
 class CoordinatorLeaving(Message, frozen=True, tag="leaving"):
     """Tell entry hosts that a coordinator gives its shards up."""
 
--- a/src/amaranthferry/platform/store.py
+++ b/src/amaranthferry/platform/store.py
@@ -38,6 +38,16 @@
     spec: Any = None
     status: Any = None
 
+    @property
+    def name(self) -> str:
+        """Return the object's name."""
+        return self.metadata.name
+
+    @property
+    def revision(self) -> int:
+        """Return the revision of the object's last change."""
+        return self.metadata.revision
+
 
 class Listing(msgspec.Struct):
     """Hold all objects of a kind at a revision."""
--- a/tests/gateway/test_application.py
+++ b/tests/gateway/test_application.py
@@ -203,9 +203,7 @@
         assert (await caller.send("GET", "/look/x"))[1] == 200
         system.store.trouble = StoreTrouble.BUSY
         await until(
-            lambda: (
-                not system.hosts[0].config.freshness.is_current(system.hosts[0].clock())
-            )
+            lambda: not system.hosts[0].freshness.is_current(system.hosts[0].clock())
         )
         attempt, status, headers, _ = await caller.send("GET", "/look/x")
         assert status == 503
