--- a/src/amaranthferry/catalog.py
+++ b/src/amaranthferry/catalog.py
@@ -228,6 +228,7 @@
     repeat_burst: float = 2.0
     repeat_refill: float = 0.1
     quota_leeway: float = 0.0
+    quota_window: Seconds = 8.0
 
 
 def deployment_of(
@@ -250,7 +251,12 @@
         pools=pools,
         servers=servers,
         quotas={
-            item.workspace: Quota(item.rate, item.burst, _leeway(item, allotment))
+            item.workspace: Quota(
+                item.rate,
+                item.burst,
+                _leeway(item, allotment),
+                allotment.quota_window,
+            )
             for item in catalog.subscribers or ()
         },
         rules={
