--- /dev/null
+++ b/tests/adapter/test_desired.py
@@ -0,0 +1,119 @@
+import pytest
+
+from amaranthferry.catalog import Directory, RouteKind
+from amaranthferry.exceptions import SettingsError
+from amaranthferry.platform.desired import read_catalog, read_instance
+from amaranthferry.types import ServerState
+
+
+def route(name, prefix, **changes):
+    return {
+        "name": name,
+        "host": "Desk.example",
+        "pathPrefix": prefix,
+        "type": "safe",
+        "service": "ledger",
+        **changes,
+    }
+
+
+def spec(*routes, **changes):
+    services = [{"name": "ledger", "healthPath": "/healthz"}]
+    return {"version": 3, "routes": list(routes), "services": services, **changes}
+
+
+def test_longest_prefix_wins():
+    found = Directory(read_catalog(spec(route("a", "/a/"), route("b", "/a/b/"))))
+    assert found.route("desk.example", "/a/x").name == "a"
+    assert found.route("DESK.example:80", "/a/b/c").name == "b"
+    assert found.route("desk.example", "/a/b").name == "a"
+    assert found.route("desk.example", "/ab/") is None
+    assert found.route("other.example", "/a/") is None
+
+
+def test_split_is_by_weight_and_the_same_each_time():
+    parts = [{"service": "x", "weight": 90}, {"service": "y", "weight": 10}]
+    found = read_catalog(spec(route("a", "/a/", service="", backends=parts)))
+    chosen = [found.routes[0].service_for(f"attempt-{n}") for n in range(2_000)]
+    assert 0.06 < chosen.count("y") / len(chosen) < 0.14
+    assert chosen[:50] == [
+        found.routes[0].service_for(f"attempt-{n}") for n in range(50)
+    ]
+
+
+@pytest.mark.parametrize(
+    ("kind", "resumable", "repeatable"),
+    [
+        ("safe", False, True),
+        ("unsafe", False, False),
+        ("unsafe", True, False),
+        ("streaming", False, False),
+        ("streaming", True, True),
+    ],
+)
+def test_what_may_be_repeated_follows_from_the_kind(kind, resumable, repeatable):
+    item = route("pay", "/p/", type=kind, resumable=resumable)
+    found = read_catalog(spec(item)).routes[0]
+    assert found.kind is RouteKind(kind)
+    assert found.repeatable is repeatable
+
+
+def test_no_tenants_means_no_keys():
+    assert not Directory(read_catalog(spec(route("a", "/a/")))).needs_key
+    found = Directory(read_catalog(spec(route("a", "/a/"), tenants=[])))
+    assert found.needs_key
+    assert found.subscriber("k") is None
+
+
+def test_engine_of_a_service_is_read():
+    engine = {"slots": 10, "kvCapacity": 5_000, "stride": 5, "models": [{"name": "m"}]}
+    services = [{"name": "llm", "healthPath": "/h", "engine": engine, "new": 1}]
+    found = read_catalog(spec(services=services)).services["llm"].engine
+    assert (found.slots, found.kv_tokens, found.event_tokens) == (10, 5_000, 5)
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [None, {"version": "x"}, spec(route("a", "/a/", type="odd")), {"version": 1}],
+)
+def test_unreadable_configuration_is_a_typed_error(bad):
+    with pytest.raises(SettingsError, match="can't be read"):
+        read_catalog(bad)
+
+
+ENTRY = {
+    "service": "llm",
+    "address": "10.0.0.1:8080",
+    "zone": "z",
+    "state": "ready",
+    "slots": 4,
+    "born": 7,
+    "sequence": 2,
+}
+
+
+def test_entry_becomes_an_instance():
+    found = read_instance("i-1", ENTRY)
+    assert (found.server, found.service, found.born) == ("i-1", "llm", 7)
+    assert found.state is ServerState.LIVE
+    assert read_instance("i-1", {**ENTRY, "state": "draining"}).state is (
+        ServerState.LEAVING
+    )
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        None,
+        "text",
+        {},
+        {**ENTRY, "address": 7},
+        {**ENTRY, "address": "10.0.0.1"},
+        {**ENTRY, "address": "10.0.0.1:x"},
+        {**ENTRY, "state": "odd"},
+        {**ENTRY, "service": None},
+        {key: value for key, value in ENTRY.items() if key != "zone"},
+    ],
+)
+def test_entry_of_another_writer_names_no_server(bad):
+    assert read_instance("i-1", bad) is None
