Forget permits from before a pause, and give them back to who granted them

Change: a host that stood still for 1.5 s gives up what it coordinated; a permit goes back to the host that granted it and to the one that decides now; a lost host's work holds its place for 2 s here, since servers drop a request with its connection.

--- a/src/amaranthferry/catalog.py
+++ b/src/amaranthferry/catalog.py
@@ -40,6 +40,8 @@
 NOTICE_INTERVAL: Seconds = 0.1
 #: Time in which hosts hand their running work to a new coordinator.
 REBUILD_TIMEOUT: Seconds = 0.5
+#: Servers drop a request when its connection ends, so a dead host's work ends soon.
+ORPHAN_HOLD: Seconds = 2.0
 #: Speeds to begin predictions with, until an engine has shown its own.
 PRIOR_PREFILL_RATE = 30_000.0
 PRIOR_DECODE_INTERVAL: Seconds = 0.008
@@ -301,6 +303,7 @@
         by_objective=not plain,
         notice_interval=0.0 if plain else NOTICE_INTERVAL,
         rebuild_timeout=REBUILD_TIMEOUT,
+        orphan_hold=ORPHAN_HOLD,
     )
 
 
--- a/src/amaranthferry/config.py
+++ b/src/amaranthferry/config.py
@@ -102,6 +102,7 @@
     by_objective: bool = False
     notice_interval: Seconds = 0.0
     rebuild_timeout: Seconds = 2.0
+    orphan_hold: Seconds = 30.0
 
 
 DEFAULT_RULES = PoolRules()
--- a/src/amaranthferry/coordination.py
+++ b/src/amaranthferry/coordination.py
@@ -39,6 +39,8 @@
 
 REGISTRATION_PERIOD: Seconds = 5.0
 ORDER_DRAIN_TIMEOUT: Seconds = 5.0
+#: A tick that comes so much later than the one before shows that this host stood still.
+PAUSE: Seconds = 1.5
 
 
 @receive_message.register(PermitAsk)
@@ -103,6 +105,7 @@
 
 @apply_event.register
 def _(event: Ticked, state: HostState) -> list[Effect]:
+    _forget_after_pause(state)
     effects = expire(state) + _lapse_order_drains(state)
     for coordinator in list(state.coordinators.values()):
         effects += permits.reduce(coordinator, event)
@@ -115,6 +118,17 @@
     return effects
 
 
+def _forget_after_pause(state: HostState) -> None:
+    """Give up what this host coordinated before it was suspended.
+
+    Hosts that waited in vain decided elsewhere meanwhile, so its count of what runs is
+    wrong; they register what they have when they reach it again.
+    """
+    last, state.ticked_at = state.ticked_at, state.now
+    if last is not None and state.now - last > PAUSE:
+        state.coordinators.clear()
+
+
 @apply_event.register
 def _(event: MembersChanged, state: HostState) -> list[Effect]:
     return _set_members(state, event.hosts, event.draining)
--- a/src/amaranthferry/coordinator.py
+++ b/src/amaranthferry/coordinator.py
@@ -133,7 +133,7 @@
         for waiter in self.queue:
             if waiter.host not in self.hosts:
                 self.queue.remove(waiter.ask.request_id)
-        self.permits.mark_orphans(self.hosts, now)
+        self.permits.mark_orphans(self.hosts, now, hold=self._rules.orphan_hold)
 
     def owns(self, host: HostId, request_id: RequestId) -> bool:
         """Tell whether a request is the host's, or unknown."""
--- a/src/amaranthferry/permits.py
+++ b/src/amaranthferry/permits.py
@@ -34,14 +34,16 @@
         """Return a permit by its request id."""
         return self._permits.get(request_id)
 
-    def mark_orphans(self, hosts: Iterable[HostId], now: Seconds) -> None:
+    def mark_orphans(
+        self, hosts: Iterable[HostId], now: Seconds, *, hold: Seconds = ORPHAN_HOLD
+    ) -> None:
         """Start the hold of permits whose hosts are gone."""
         live = frozenset(hosts)
         for permit in self:
             if permit.host in live:
                 permit.orphaned_until = None
             elif permit.orphaned_until is None:
-                permit.orphaned_until = now + ORPHAN_HOLD
+                permit.orphaned_until = now + hold
         self._orphans = any(permit.orphaned_until for permit in self)
 
     def return_orphans(self, now: Seconds) -> None:
--- a/src/amaranthferry/running.py
+++ b/src/amaranthferry/running.py
@@ -32,7 +32,7 @@
     req = state.requests.get(event.request_id)
     if req is None or not req.is_running:
         return []
-    effects = [_release(state, req, dispatched=event.by_server, failed=True)]
+    effects = _release(state, req, dispatched=event.by_server, failed=True)
     if event.by_server:
         req.tried = (*req.tried, _server_of(req))
         if req.may_be_sent_again and _take_repeat(state, req):
@@ -93,7 +93,7 @@
     del state.requests[event.request_id]
     req.move(RequestState.DONE)
     req.output_tokens = event.output_tokens
-    effects = [_release(state, req, finished=event)]
+    effects = _release(state, req, finished=event)
     if req.arrival.idempotency_key:
         effects.append(CloseClaim(request_id=event.request_id, outcome=Outcome.DONE))
     return effects + _account(state, req, event)
@@ -127,16 +127,16 @@
         return []
     req.tried = (*req.tried, _server_of(req))
     if req.may_run_again and _take_repeat(state, req):
-        released = _release(state, req, failed=True)
+        effects = _release(state, req, failed=True)
         req.move(RequestState.WAITING)
-        return [released, *ask_for_permit(state, req)]
+        return effects + ask_for_permit(state, req)
     del state.requests[event.request_id]
     req.move(RequestState.UNKNOWN)
     req.output_tokens = max(req.output_tokens, event.output_tokens)
     cancelled = req.caller_gone
     cause = WasteCause.CALLER_GONE if cancelled else WasteCause.FAILED
-    effects: list[Effect] = [
-        _release(state, req, failed=not cancelled),
+    effects = [
+        *_release(state, req, failed=not cancelled),
         SettleRequest(request_id=event.request_id, outcome=Outcome.UNKNOWN),
         CountMetric(name=f"requests.{req.arrival.tier}.unknown"),
         _waste(cause, float(req.arrival.prompt_tokens)),
@@ -164,7 +164,8 @@
     finished: DispatchFinished | None = None,
     dispatched: bool = True,
     failed: bool = False,
-) -> Effect:
+) -> list[Effect]:
+    """Give the permit back to who granted it and to who decides now."""
     assert req.server is not None
     message = PermitRelease(
         request_id=req.arrival.request_id,
@@ -178,7 +179,10 @@
         first_token=req.first_token,
         elapsed=state.now - req.dispatched_at,
     )
-    return SendToHost(host=state.permit_host(req.shard), message=message)
+    decides = state.permit_host(req.shard)
+    granted = req.asked or decides
+    hosts = (decides,) if granted == decides else (decides, granted)
+    return [SendToHost(host=host, message=message) for host in hosts]
 
 
 @apply_event.register
--- a/src/amaranthferry/state.py
+++ b/src/amaranthferry/state.py
@@ -68,6 +68,7 @@
     chosen: dict[ShardId, Choice] = {}
     pool_shards: dict[PoolId, tuple[ShardId, ...]] = {}
     repeats: dict[PoolId, RepeatBudget] = {}
+    ticked_at: Seconds | None = None
     coordinator_timeout: Seconds = COORDINATOR_TIMEOUT
 
     def replace_hosts(
