Read a newcomer's way through the edge, and end a request's time by an event

The shell set a flag in the reducer's state to keep a request whose time is up from a second run; the event now says so itself, with a test. The edge's admission is split into steps, and names that nothing used are gone.

--- a/src/amaranthferry/events.py
+++ b/src/amaranthferry/events.py
@@ -167,6 +167,7 @@
     """Report that bytes were written and no whole answer came."""
 
     request_id: RequestId
+    time_is_up: bool = False
     output_tokens: Tokens = 0
 
 
--- a/src/amaranthferry/gateway/edge.py
+++ b/src/amaranthferry/gateway/edge.py
@@ -119,51 +119,26 @@
         if route is None:
             raise _unknown_route()
         subscriber = self._subscriber(route, terms, arrived)
-        body = await _read_body(receive, directory.catalog.limits.max_body)
-        timeout = min(
-            terms.remaining or DEFAULT_TIMEOUT, route.timeout or DEFAULT_TIMEOUT
-        )
-        workspace = subscriber.workspace if subscriber else ANONYMOUS
-        raw_path: bytes = scope["raw_path"]
-        query: bytes = scope["query_string"]
-        target = raw_path + (b"?" + query if query else b"")
         service = route.service_for(terms.attempt)
         routed = directory.catalog.services.get(service)
         if routed is None:
             raise _unready("The route's service is not configured.")
+        body = await _read_body(receive, directory.catalog.limits.max_body)
+        limit = route.timeout or DEFAULT_TIMEOUT
         call = RoutedCall(
             request_id=self._app.new_request_id(terms.attempt),
             route=route,
-            workspace=workspace,
+            workspace=subscriber.workspace if subscriber else ANONYMOUS,
             terms=terms,
             method=scope["method"],
-            target=target.decode("latin-1"),
+            target=_target(scope),
             headers=tuple(received),
             body=body,
             arrived=arrived,
-            deadline=arrived + timeout,
+            deadline=arrived + min(terms.remaining or DEFAULT_TIMEOUT, limit),
             event_tokens=routed.engine.event_tokens if routed.engine else 1,
         )
-        tokens = terms.prompt_tokens + terms.output_tokens
-        arrival = RequestArrived(
-            now=arrived,
-            request_id=call.request_id,
-            workspace=workspace,
-            tier=tier_id(priority_of(route, subscriber)),
-            work_class=work_class_id(route),
-            pool=service,
-            timeout=timeout,
-            prompt_tokens=terms.prompt_tokens,
-            output_tokens=_output_tokens(terms),
-            prefixes=tuple(part.part for part in terms.parts),
-            prefix_lengths=_lengths(terms),
-            objective=route.objective,
-            patience=route.patience,
-            quota_cost=subscriber.cost(tokens) if subscriber else 0.0,
-            max_attempts=route.max_attempts,
-            repeatable=route.repeatable,
-        )
-        return call, arrival
+        return call, _arrival(call, service, subscriber)
 
     def _subscriber(
         self, route: Route, terms: headers.Terms, now: Seconds
@@ -300,6 +275,38 @@
             return b"".join(parts)
 
 
+def _target(scope: Scope) -> str:
+    raw_path: bytes = scope["raw_path"]
+    query: bytes = scope["query_string"]
+    return (raw_path + (b"?" + query if query else b"")).decode("latin-1")
+
+
+def _arrival(
+    call: RoutedCall, service: PoolId, subscriber: Subscriber | None
+) -> RequestArrived:
+    """Describe a call to the reducer."""
+    route, terms = call.route, call.terms
+    tokens = terms.prompt_tokens + terms.output_tokens
+    return RequestArrived(
+        now=call.arrived,
+        request_id=call.request_id,
+        workspace=call.workspace,
+        tier=tier_id(priority_of(route, subscriber)),
+        work_class=work_class_id(route),
+        pool=service,
+        timeout=call.deadline - call.arrived,
+        prompt_tokens=terms.prompt_tokens,
+        output_tokens=_output_tokens(terms),
+        prefixes=tuple(part.part for part in terms.parts),
+        prefix_lengths=_lengths(terms),
+        objective=route.objective,
+        patience=route.patience,
+        quota_cost=subscriber.cost(tokens) if subscriber else 0.0,
+        max_attempts=route.max_attempts,
+        repeatable=route.repeatable,
+    )
+
+
 def _output_tokens(terms: headers.Terms) -> int:
     return terms.length_hint or terms.output_tokens
 
--- a/src/amaranthferry/gateway/performer.py
+++ b/src/amaranthferry/gateway/performer.py
@@ -46,15 +46,17 @@
         app = self.app
         request_id = exchange.call.request_id
         req = app.state.requests.get(request_id)
-        if req is not None and req.is_running:
-            req.caller_gone = True
-            if exchange.task is not None:
-                exchange.task.cancel()
-            exchange.timed_out = True
-            app.handle(DispatchFailed(now=app.clock(), request_id=request_id))
-        elif req is not None:
-            exchange.timed_out = True
+        if req is None:
+            return
+        exchange.timed_out = True
+        if not req.is_running:
             app.handle(CallerGone(now=app.clock(), request_id=request_id))
+            return
+        if exchange.task is not None:
+            exchange.task.cancel()
+        app.handle(
+            DispatchFailed(now=app.clock(), request_id=request_id, time_is_up=True)
+        )
 
 
 @singledispatch
--- a/src/amaranthferry/http_connection.py
+++ b/src/amaranthferry/http_connection.py
@@ -48,7 +48,6 @@
         self._framed = False
         self._error: Exception | None = None
         self._keep = False
-        self.idle_since: Seconds = 0.0
 
     @classmethod
     async def open(cls, address: str, *, timeout: Seconds) -> Self:
--- a/src/amaranthferry/platform/headers.py
+++ b/src/amaranthferry/platform/headers.py
@@ -11,7 +11,6 @@
 KEY = "x-amaranthferry-key"
 TENANT = "x-amaranthferry-tenant"
 EXPECT_INSTANCE = "x-amaranthferry-expect-instance"
-EXPECT_VERSION = "x-amaranthferry-expect-version"
 SIGNATURE = "x-amaranthferry-server-signature"
 NOT_EXECUTED = "x-amaranthferry-not-executed"
 MODEL = "x-amaranthferry-model"
@@ -161,12 +160,3 @@
         signed=SIGNATURE in headers,
         not_executed=NOT_EXECUTED in headers or status == 421,
     )
-
-
-def keep_alive(headers: Mapping[str, str]) -> Seconds | None:
-    """Return how long a server keeps an idle connection, if it says so."""
-    for item in headers.get("keep-alive", "").split(","):
-        name, _, value = item.strip().partition("=")
-        if name.lower() == "timeout":
-            return _number(value)
-    return None
--- a/tests/test_second_runs.py
+++ b/tests/test_second_runs.py
@@ -77,6 +77,13 @@
     assert settled(failed(found)) == [Outcome.UNKNOWN]
 
 
+def test_request_whose_time_is_up_gets_no_second_run():
+    found = state()
+    start(found, repeatable=True, max_attempts=3)
+    up = events.DispatchFailed(now=0.5, request_id="r1", time_is_up=True)
+    assert settled(reduce(found, up)) == [Outcome.UNKNOWN]
+
+
 def test_shared_budget_bounds_second_runs():
     found = state()
     outcomes = []
