--- a/src/amaranthferry/gateway/edge.py
+++ b/src/amaranthferry/gateway/edge.py
@@ -19,7 +19,7 @@
 from ..http_connection import AnswerStart
 from ..platform import headers
 from ..problems import Problem
-from ..types import Seconds
+from ..types import PoolId, Seconds
 from .dispatching import RoutedCall
 from .exchange import AnswerBrokenOff, RoutedExchange, ShortAnswer
 from .vocabulary import LogEvent
