--- a/src/amaranthferry/catalog.py
+++ b/src/amaranthferry/catalog.py
@@ -230,7 +230,6 @@
     repeat_burst: float = 2.0
     repeat_refill: float = 0.1
     quota_leeway: float = 0.0
-    quota_window: Seconds = 8.0
 
 
 def deployment_of(
@@ -257,7 +256,6 @@
                 item.rate,
                 item.burst,
                 _leeway(item, allotment),
-                allotment.quota_window,
             )
             for item in catalog.subscribers or ()
         },
--- a/src/amaranthferry/config.py
+++ b/src/amaranthferry/config.py
@@ -111,13 +111,17 @@
 class Quota(msgspec.Struct, frozen=True):
     """Bound what a workspace uses; the rate is a second's, 0 means no limit.
 
-    In each window its use may run over rate and burst by the leeway.
+    The leeway is what its use may run over before a request is refused.
     """
 
     rate: float = 0.0
     burst: float = 0.0
     leeway: float = 0.0
-    window: Seconds = 8.0
+
+    @property
+    def room(self) -> float:
+        """Return the most that an idle workspace may use at once."""
+        return self.burst + self.leeway
 
 
 class Service(msgspec.Struct, frozen=True):
--- a/src/amaranthferry/coordinator.py
+++ b/src/amaranthferry/coordinator.py
@@ -69,7 +69,7 @@
         self._advert_next = 0
         self._tiers = 1
         self.limits = Limits()
-        self.quotas = QuotaLedger(now)
+        self.quotas = QuotaLedger()
         self.minimums = MinimumShares()
         self._rules = DEFAULT_RULES
         self._noticed: dict[HostId, Seconds] = {}
--- a/src/amaranthferry/gateway/application.py
+++ b/src/amaranthferry/gateway/application.py
@@ -371,7 +371,6 @@
             repeat_burst=extra * BURST_PART,
             repeat_refill=extra * REFILL_PART / bounds.retry_window,
             quota_leeway=bounds.quota_slack * LEEWAY_PART,
-            quota_window=bounds.quota_window,
         )
 
     async def _tick(self) -> None:
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -1,5 +1,6 @@
 from enum import Enum
-from typing import get_args, get_origin, get_type_hints
+from types import UnionType
+from typing import Any, get_args, get_origin, get_type_hints
 
 import msgspec
 import pytest
@@ -26,6 +27,10 @@
 
 def _sample(hint):
     hint = getattr(hint, "__supertype__", hint)
+    if get_origin(hint) is UnionType:
+        return _sample(get_args(hint)[0])
+    if hint is Any:
+        return {"x": [1, None]}
     if get_origin(hint) is tuple:
         return (_sample(get_args(hint)[0]),) * 2
     if isinstance(hint, type) and issubclass(hint, Enum):
