Drop the store reader's own loop, and list in one place

The relay's desk has run the reads since it came, so the loop in KindReader, its pauses and its count of failures were dead; listing for the first time and after lost history stood twice. Reads, their ages and what a failure reports stay as they were: checks and the gateway's tests pass unchanged.

--- a/src/amaranthferry/gateway/watching.py
+++ b/src/amaranthferry/gateway/watching.py
@@ -1,7 +1,5 @@
 """Follow one kind of objects in the store, and keep what peers may ask for."""
 
-import asyncio
-import random
 from collections import deque
 from collections.abc import Callable
 from typing import Protocol
@@ -15,8 +13,6 @@
 from .freshness import Freshness, boot_time
 from .vocabulary import LogEvent
 
-FIRST_PAUSE: Seconds = 0.1
-MAX_PAUSE: Seconds = 0.5
 #: Changes that are kept for peers; one that lacks more reads the store itself.
 MAX_KEPT_CHANGES = 256
 _log = structlog.get_logger(__name__)
@@ -108,51 +104,38 @@
 
 
 class KindReader:
-    """Read one kind from the store: once, or for as long as this host is a reader."""
+    """Make single reads of one kind."""
 
     def __init__(self, store: StoreClient, belief: KindBelief) -> None:
         self._store = store
         self._belief = belief
-        self._failures = 0
-
-    async def watch(self, wait: Seconds) -> None:
-        """Read for ever; a failed read is tried again after a short pause."""
-        while True:
-            if not await self.read(wait):
-                pause = min(MAX_PAUSE, FIRST_PAUSE * 2 ** min(self._failures, 8))
-                await asyncio.sleep(random.uniform(pause / 2, pause))
 
     async def read(self, wait: Seconds = 0.0) -> bool:
         """Make one read, and tell whether it succeeded."""
-        belief = self._belief
-        sent = boot_time()
         try:
-            if belief.revision is None:
-                belief.take_list(await self._store.list(belief.kind), sent)
-            else:
-                changes = await self._store.watch(
-                    belief.kind, belief.revision, wait=wait
-                )
-                belief.take_changes(changes, sent)
-        except HistoryGone:
-            _log.info(LogEvent.HISTORY_GONE, kind=belief.kind)
-            return await self._list_anew()
+            await self._read(wait)
         except AmaranthferryError as exc:
-            self._failures += 1
-            belief.fail(exc.message)
+            self._belief.fail(exc.message)
             return False
-        self._failures = 0
         return True
 
-    async def _list_anew(self) -> bool:
+    async def _read(self, wait: Seconds) -> None:
+        belief = self._belief
+        if belief.revision is None:
+            await self._list()
+            return
         sent = boot_time()
         try:
-            self._belief.take_list(await self._store.list(self._belief.kind), sent)
-        except AmaranthferryError as exc:
-            self._failures += 1
-            self._belief.fail(exc.message)
-            return False
-        return True
+            changes = await self._store.watch(belief.kind, belief.revision, wait=wait)
+        except HistoryGone:
+            _log.info(LogEvent.HISTORY_GONE, kind=belief.kind)
+            await self._list()
+        else:
+            belief.take_changes(changes, sent)
+
+    async def _list(self) -> None:
+        sent = boot_time()
+        self._belief.take_list(await self._store.list(self._belief.kind), sent)
 
 
 def _change(item: StoredObject, deleted: bool = False) -> ObjectChange:
