Hold quotas over the window, and hand over what was used

Hosts now keep what their requests used, by half seconds, and tell it when they register; a new ledger counts that in, scaled by the hosts that did not tell. Where less than 0.6 is known it gives half the burst and the rate for one window. Several shards of a pool share the quota.

--- a/src/amaranthferry/catalog.py
+++ b/src/amaranthferry/catalog.py
@@ -45,6 +45,10 @@
 #: Speeds to begin predictions with, until an engine has shown its own.
 PRIOR_PREFILL_RATE = 30_000.0
 PRIOR_DECODE_INTERVAL: Seconds = 0.008
+#: Part of the slack of a quota that is used; the rest covers accounts that begin anew.
+LEEWAY_PART = 0.25
+#: Part of the burst that an account which knows nothing of before doesn't start from.
+WITHHELD_PART = 0.5
 _SPLIT_STEPS = 10_000
 
 
@@ -223,13 +227,16 @@
 class Allotment(msgspec.Struct, frozen=True, kw_only=True):
     """Hold one host's part of what all hosts may use together.
 
-    The numbers for second runs are this host's; the leeway is a workspace's.
+    The numbers for second runs are this host's. Those for quotas are a workspace's:
+    what it uses in a window may exceed rate and burst by a part, and by a slack.
     """
 
     repeat_ratio: float = 0.1
     repeat_burst: float = 2.0
     repeat_refill: float = 0.1
-    quota_leeway: float = 0.0
+    quota_window: Seconds = 8.0
+    quota_overage: float = 0.0
+    quota_slack: float = 0.0
 
 
 def deployment_of(
@@ -252,11 +259,7 @@
         pools=pools,
         servers=servers,
         quotas={
-            item.workspace: Quota(
-                item.rate,
-                item.burst,
-                _leeway(item, allotment),
-            )
+            item.workspace: _quota(item, allotment)
             for item in catalog.subscribers or ()
         },
         rules={
@@ -287,8 +290,14 @@
     return Pool(service.name, models=service.engine.models)
 
 
-def _leeway(subscriber: Subscriber, allotment: Allotment) -> float:
-    return allotment.quota_leeway if subscriber.counts_tokens else 0.0
+def _quota(subscriber: Subscriber, allotment: Allotment) -> Quota:
+    """Bound a workspace so that an account that begins anew keeps the bound too."""
+    rate, burst, window = subscriber.rate, subscriber.burst, allotment.quota_window
+    over = allotment.quota_overage * (rate * window + burst)
+    slack = allotment.quota_slack if subscriber.counts_tokens else 0.0
+    leeway = slack * LEEWAY_PART
+    withheld = min(over + slack - leeway, burst * WITHHELD_PART)
+    return Quota(rate, burst, leeway, window, withheld)
 
 
 def _rules(service: RoutedService, allotment: Allotment) -> PoolRules:
--- a/src/amaranthferry/config.py
+++ b/src/amaranthferry/config.py
@@ -111,17 +111,36 @@
 class Quota(msgspec.Struct, frozen=True):
     """Bound what a workspace uses; the rate is a second's, 0 means no limit.
 
-    The leeway is what its use may run over before a request is refused.
+    In any window it may use the rate times the window, the burst and a leeway. An
+    account that can't know what was used before starts from the burst, less what is
+    withheld, and earns the rate.
     """
 
     rate: float = 0.0
     burst: float = 0.0
     leeway: float = 0.0
+    window: Seconds = 8.0
+    withheld: float = 0.0
 
     @property
     def room(self) -> float:
-        """Return the most that an idle workspace may use at once."""
-        return self.burst + self.leeway
+        """Return the most that may be used in a window."""
+        return self.rate * self.window + self.burst + self.leeway
+
+    @property
+    def start(self) -> float:
+        """Return what may be used at once where earlier use isn't known."""
+        return self.burst - self.withheld
+
+    def part(self, count: int) -> "Quota":
+        """Return one of so many equal parts."""
+        return msgspec.structs.replace(
+            self,
+            rate=self.rate / count,
+            burst=self.burst / count,
+            leeway=self.leeway / count,
+            withheld=self.withheld / count,
+        )
 
 
 class Service(msgspec.Struct, frozen=True):
--- a/src/amaranthferry/coordination.py
+++ b/src/amaranthferry/coordination.py
@@ -79,6 +79,7 @@
     coordinator = Coordinator.from_config(
         state.deployment, shard, now=state.now, hosts=state.hosts
     )
+    coordinator.hosts_of_late = state.hosts_of_late()
     state.coordinators[shard] = coordinator
     return coordinator, replay_signs(state, coordinator)
 
--- a/src/amaranthferry/coordinator.py
+++ b/src/amaranthferry/coordinator.py
@@ -38,7 +38,7 @@
 from .policy import Policy
 from .quota import QuotaLedger
 from .servers import Permit, ServerRecord
-from .shards import choose_coordinator, pool_of, servers_of
+from .shards import choose_coordinator, pool_of, servers_of, shards_of
 from .types import HostId, RequestId, Seconds, ServerId, ShardId
 
 SAFE_SHARE = 0.25
@@ -70,7 +70,8 @@
         self._advert_next = 0
         self._tiers = 1
         self.limits = Limits()
-        self.quotas = QuotaLedger()
+        self.quotas = QuotaLedger(now)
+        self.hosts_of_late = len(self.hosts)
         self.minimums = MinimumShares()
         self.outlook = Outlook()
         self._rules = DEFAULT_RULES
@@ -94,7 +95,9 @@
     def apply(self, deployment: Deployment) -> None:
         """Put a deployment in force; what was learned of its servers stays."""
         self.limits = deployment.limits
-        self.quotas.apply(deployment.quotas)
+        shards = len(shards_of(deployment, pool_of(self.shard)))
+        quotas = deployment.quotas.items()
+        self.quotas.apply({name: quota.part(shards) for name, quota in quotas})
         self._rules = deployment.rules_of(pool_of(self.shard))
         if self._rules.by_objective and isinstance(self.queue, WaitQueue):
             self.queue = ObjectiveQueue()
@@ -120,9 +123,17 @@
             and now < self.started + self._rules.rebuild_timeout
         )
 
-    def registered(self, host: HostId) -> None:
-        """Note that a host has handed over its waiting and running requests."""
+    def registered(self, message: Registration, host: HostId, now: Seconds) -> None:
+        """Note that a host has handed over its requests and what these used."""
+        if host in self._unregistered:
+            self.quotas.learn(message.used, message.recorded)
         self._unregistered.discard(host)
+        self.settle_quotas(now)
+
+    def settle_quotas(self, now: Seconds) -> None:
+        """Build on what the hosts told of the use of late, once they had time to."""
+        if not self.rebuilding(now):
+            self.quotas.settle(self.hosts_of_late)
 
     def replace_hosts(self, hosts: Iterable[HostId], now: Seconds) -> None:
         """Replace the set of live hosts.
@@ -227,6 +238,7 @@
 def _(event: Ticked, coordinator: Coordinator) -> list[Effect]:
     now = event.now
     effects = give_up(coordinator, now)
+    coordinator.settle_quotas(now)
     coordinator.permits.return_orphans(now)
     coordinator.permits.forget_closed(now)
     effects += grant_waiting(coordinator, now)
@@ -376,7 +388,7 @@
 def _(
     message: Registration, coordinator: Coordinator, sender: HostId, now: Seconds
 ) -> list[Effect]:
-    coordinator.registered(sender)
+    coordinator.registered(message, sender, now)
     coordinator.permits.return_unlisted(message, sender, now)
     for work in message.running:
         record = coordinator.servers.get(work.server)
--- a/src/amaranthferry/entry.py
+++ b/src/amaranthferry/entry.py
@@ -22,6 +22,7 @@
     PermitWithdraw,
     ServerNotice,
 )
+from .quota import UsageRecord
 from .reducer import apply_event, receive_message
 from .requests import Request
 from .state import HostState
@@ -194,6 +195,14 @@
     return [*notices, give_back_grant(sender, grant), *ask_for_permit(state, req)]
 
 
+def _note_use(state: HostState, req: Request) -> None:
+    """Keep what a first run takes of its workspace's quota."""
+    arrival = req.arrival
+    if arrival.quota_cost > 0 and not req.tried:
+        usage = state.usage.setdefault(req.shard, UsageRecord())
+        usage.note(arrival.workspace, arrival.quota_cost, state.now)
+
+
 def _dispatch(state: HostState, req: Request) -> list[Effect]:
     assert req.server is not None
     req.move(RequestState.DISPATCHED)
@@ -201,6 +210,7 @@
     waited = ObserveMetric(
         name="permit.wait_seconds", value=state.now - req.arrival.now
     )
+    _note_use(state, req)
     dispatch = Dispatch(request_id=req.arrival.request_id, server=req.server)
     return [waited, dispatch]
 
--- a/src/amaranthferry/fallback.py
+++ b/src/amaranthferry/fallback.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from . import coordinator as permits
-from .config import Deployment, Quota
+from .config import Deployment
 from .coordinator import Coordinator
 from .effects import CountMetric, Effect
 from .events import PeerLost, SettingsApplied
@@ -59,21 +59,11 @@
         for name, server in deployment.servers.items()
     }
     quotas = {
-        workspace: _part_of(quota, hosts)
-        for workspace, quota in deployment.quotas.items()
+        workspace: quota.part(hosts) for workspace, quota in deployment.quotas.items()
     }
     return msgspec.structs.replace(deployment, servers=servers, quotas=quotas)
 
 
-def _part_of(quota: Quota, hosts: int) -> Quota:
-    return msgspec.structs.replace(
-        quota,
-        rate=quota.rate / hosts,
-        burst=quota.burst / hosts,
-        leeway=quota.leeway / hosts,
-    )
-
-
 def apply_to_fallbacks(state: HostState) -> list[Effect]:
     """Put newer settings in force where this host decides within its own share."""
     share = _own_share(state.deployment, max(1, len(state.hosts)))
--- a/src/amaranthferry/gateway/application.py
+++ b/src/amaranthferry/gateway/application.py
@@ -61,8 +61,6 @@
 BURST_PART = 0.4
 REFILL_PART = 0.4
 RATIO_PART = 0.5
-#: Part of the leeway over a quota; the rest covers coordinators that change.
-LEEWAY_PART = 0.5
 _log = structlog.get_logger(__name__)
 
 
@@ -370,7 +368,9 @@
             repeat_ratio=bounds.retry_ratio * RATIO_PART,
             repeat_burst=extra * BURST_PART,
             repeat_refill=extra * REFILL_PART / bounds.retry_window,
-            quota_leeway=bounds.quota_slack * LEEWAY_PART,
+            quota_window=bounds.quota_window,
+            quota_overage=bounds.quota_overage,
+            quota_slack=bounds.quota_slack,
         )
 
     async def _tick(self) -> None:
--- a/src/amaranthferry/messages.py
+++ b/src/amaranthferry/messages.py
@@ -119,11 +119,17 @@
 
 
 class Registration(Message, frozen=True, tag="register"):
-    """Hand a host's waiting and running requests to a shard's new coordinator."""
+    """Hand a host's waiting and running requests to a shard's new coordinator.
+
+    `used` is what its workspaces used of their quotas, by second, the latest first;
+    the host has kept record of it for `recorded` seconds.
+    """
 
     shard: ShardId
     waiting: tuple[PermitAsk, ...]
     running: tuple[RunningWork, ...]
+    used: dict[WorkspaceId, tuple[float, ...]] = {}
+    recorded: Seconds = 0.0
 
 
 class ShardAdvert(Message, frozen=True, tag="advert"):
--- a/src/amaranthferry/platform/settings.py
+++ b/src/amaranthferry/platform/settings.py
@@ -26,6 +26,7 @@
     retry_window: Seconds
     retry_extra: float
     quota_window: Seconds
+    quota_overage: float
     quota_slack: float
 
 
@@ -71,6 +72,7 @@
             retry_window=fields.number("bounds.budgetWindowS", 10),
             retry_extra=fields.number("bounds.retryBudgetExtra", 0),
             quota_window=fields.number("bounds.quotaWindowS", 8),
+            quota_overage=fields.number("bounds.quotaOverage", 0),
             quota_slack=fields.number("bounds.quotaSlack", 0),
         )
         return cls(
--- a/src/amaranthferry/quota.py
+++ b/src/amaranthferry/quota.py
@@ -1,64 +1,196 @@
-"""Hold workspaces to their quotas with one token bucket each.
+"""Hold workspaces to their quotas: rate times window and burst in any window.
 
-A bucket holds the burst and a leeway. A ledger that has just begun doesn't know what
-was used before, so its buckets start from the burst and earn the leeway.
+A ledger that takes over from another one gives little, until each host has told what
+its requests used of late.
 """
 
-from collections.abc import Mapping
-
-import msgspec
+from collections import deque
+from collections.abc import Iterator, Mapping
 
 from .config import Quota
 from .types import Seconds, WorkspaceId
 
 #: Longest hint to a workspace that is over its quota.
 MAX_WAIT: Seconds = 60.0
+#: Span of time that use is counted by.
+SLOT: Seconds = 0.5
+#: Slots that a host keeps: more than any window that a quota is stated for.
+KEPT_SLOTS = 32
+#: Part of the use of late that must be known before a ledger builds on it.
+MIN_KNOWN = 0.6
 
+#: Use by workspace, one number a slot, the latest first.
+Usage = Mapping[WorkspaceId, tuple[float, ...]]
 
-class _Bucket(msgspec.Struct):
-    level: float
-    filled_at: Seconds
 
+class SlotCounts:
+    """Count one workspace's use by slots of time."""
+
+    def __init__(self) -> None:
+        self._slots: deque[list[float]] = deque()
+
+    def add(self, cost: float, number: int) -> None:
+        """Count a cost in a slot; late ones count in the latest slot."""
+        if self._slots and number <= self._slots[-1][0]:
+            self._slots[-1][1] += cost
+        else:
+            self._slots.append([number, cost])
+
+    def prepend(self, slots: list[tuple[int, float]]) -> None:
+        """Count use from before all that was counted here, the latest first."""
+        self._slots.extendleft([number, cost] for number, cost in slots)
+
+    def forget(self, before: int) -> None:
+        """Drop the slots before a number."""
+        while self._slots and self._slots[0][0] < before:
+            self._slots.popleft()
+
+    def __iter__(self) -> Iterator[tuple[int, float]]:
+        """Yield slot numbers and costs, the oldest first."""
+        return ((int(number), cost) for number, cost in self._slots)
+
+    @property
+    def total(self) -> float:
+        """Return the cost in all slots."""
+        return sum(cost for _, cost in self._slots)
+
+
+class UsageRecord:
+    """Keep what one host's requests used of late."""
+
+    def __init__(self) -> None:
+        self._counts: dict[WorkspaceId, SlotCounts] = {}
+
+    def note(self, workspace: WorkspaceId, cost: float, now: Seconds) -> None:
+        """Count the cost of a dispatch."""
+        counts = self._counts.setdefault(workspace, SlotCounts())
+        counts.add(cost, int(now / SLOT))
+        counts.forget(int(now / SLOT) - KEPT_SLOTS)
+
+    def usage(self, now: Seconds) -> Usage:
+        """Return the use of the slots up to now, the latest first."""
+        latest = int(now / SLOT)
+        found: dict[WorkspaceId, tuple[float, ...]] = {}
+        for workspace, counts in self._counts.items():
+            counts.forget(latest - KEPT_SLOTS)
+            by_age = {latest - number: cost for number, cost in counts}
+            if by_age:
+                ages = range(max(by_age) + 1)
+                found[workspace] = tuple(by_age.get(age, 0.0) for age in ages)
+        return found
 
-class QuotaLedger:
-    """Account for what the workspaces use of a rate and a burst."""
 
+class _Account:
     def __init__(self) -> None:
+        self.counts = SlotCounts()
+        self.spent = 0.0
+
+
+class QuotaLedger:
+    """Account for what the workspaces use of their quotas."""
+
+    def __init__(self, now: Seconds = 0.0) -> None:
         self._quotas: Mapping[WorkspaceId, Quota] = {}
-        self._buckets: dict[WorkspaceId, _Bucket] = {}
+        self._accounts: dict[WorkspaceId, _Account] = {}
+        self._began = now
+        self._settled = False
+        self._known: dict[WorkspaceId, bool] = {}
+        self._told: dict[WorkspaceId, list[float]] = {}
+        self._recorded: list[Seconds] = []
 
     def apply(self, quotas: Mapping[WorkspaceId, Quota]) -> None:
         """Put quotas in force; what was used stays used."""
         self._quotas = quotas
-        for workspace in list(self._buckets):
+        for workspace in list(self._accounts):
             if workspace not in quotas:
-                del self._buckets[workspace]
+                del self._accounts[workspace]
+
+    def learn(self, usage: Usage, recorded: Seconds) -> None:
+        """Take one host's use of late, and for how long it has kept record."""
+        if self._settled:
+            return
+        self._recorded.append(recorded)
+        for workspace, used in usage.items():
+            total = self._told.setdefault(workspace, [0.0] * KEPT_SLOTS)
+            for index, cost in enumerate(used[:KEPT_SLOTS]):
+                total[index] += cost
+
+    def settle(self, hosts: int) -> None:
+        """Build on what was learned, once all of so many hosts had time to tell."""
+        if self._settled:
+            return
+        self._settled = True
+        for workspace, quota in self._quotas.items():
+            part = self._part_told(quota, hosts)
+            if part >= MIN_KNOWN:
+                self._known[workspace] = True
+                self._take_over(workspace, part)
+        self._told.clear()
+        self._recorded.clear()
+
+    def _part_told(self, quota: Quota, hosts: int) -> float:
+        """Return the part of the use in the quota's window that was told."""
+        window = max(SLOT, quota.window)
+        return sum(min(1.0, at / window) for at in self._recorded) / max(1, hosts)
+
+    def _take_over(self, workspace: WorkspaceId, part: float) -> None:
+        # The slots of hosts begin at different times: use counts as one slot later.
+        latest = int(self._began / SLOT)
+        slots = [
+            (min(latest, latest - age + 1), cost / part)
+            for age, cost in enumerate(self._told.get(workspace, ()))
+            if cost
+        ]
+        self._account(workspace).counts.prepend(slots)
+
+    def _account(self, workspace: WorkspaceId) -> _Account:
+        return self._accounts.setdefault(workspace, _Account())
 
     def take(self, workspace: WorkspaceId, cost: float, now: Seconds) -> Seconds:
         """Take a request's cost; return 0, or the wait until there is room for it."""
         quota = self._quotas.get(workspace)
         if quota is None or quota.rate <= 0 or cost <= 0:
             return 0.0
-        bucket = self._filled(workspace, quota, now)
-        # A request larger than the whole room passes a full bucket, and leaves a debt.
-        needed = min(cost, quota.room)
-        if bucket.level < needed:
-            return min(MAX_WAIT, (needed - bucket.level) / quota.rate)
-        bucket.level -= cost
+        account = self._account(workspace)
+        wait = self._window_wait(account, quota, cost, now)
+        if not self._known.get(workspace):
+            wait = max(wait, self._start_wait(account, quota, cost, now))
+        if wait > 0:
+            return min(MAX_WAIT, wait)
+        account.counts.add(cost, int(now / SLOT))
+        account.spent += cost
         return 0.0
 
+    def _window_wait(
+        self, account: _Account, quota: Quota, cost: float, now: Seconds
+    ) -> Seconds:
+        """Return the time until the window has room."""
+        account.counts.forget(int((now - quota.window) / SLOT))
+        # A request that is larger than the whole room passes an empty window.
+        excess = account.counts.total + min(cost, quota.room) - quota.room
+        if excess <= 0:
+            return 0.0
+        leaves = now
+        for number, used in account.counts:
+            excess -= used
+            leaves = (number + 1) * SLOT + quota.window
+            if excess <= 0:
+                break
+        return max(SLOT, leaves - now)
+
+    def _start_wait(
+        self, account: _Account, quota: Quota, cost: float, now: Seconds
+    ) -> Seconds:
+        """Return the wait of an account that can't know what was used before."""
+        age = now - self._began
+        if age >= quota.window:
+            return 0.0
+        needed = account.spent + min(cost, quota.start)
+        return max(0.0, (needed - quota.start) / quota.rate - age)
+
     def give_back(self, workspace: WorkspaceId, cost: float, now: Seconds) -> None:
         """Return the cost of a request that did not run."""
-        quota = self._quotas.get(workspace)
-        if quota is not None and quota.rate > 0 and cost > 0:
-            bucket = self._filled(workspace, quota, now)
-            bucket.level = min(quota.room, bucket.level + cost)
-
-    def _filled(self, workspace: WorkspaceId, quota: Quota, now: Seconds) -> _Bucket:
-        bucket = self._buckets.get(workspace)
-        if bucket is None:
-            bucket = self._buckets[workspace] = _Bucket(quota.burst, now)
-        elapsed = max(0.0, now - bucket.filled_at)
-        bucket.level = min(quota.room, bucket.level + elapsed * quota.rate)
-        bucket.filled_at = now
-        return bucket
+        account = self._accounts.get(workspace)
+        if account is not None and cost > 0:
+            account.counts.add(-cost, int(now / SLOT))
+            account.spent -= cost
--- a/src/amaranthferry/reducer.py
+++ b/src/amaranthferry/reducer.py
@@ -11,6 +11,8 @@
 def reduce(state: HostState, event: Event) -> list[Effect]:
     """Take one event into the state and return what is to be done."""
     state.now = max(state.now, event.now)
+    if state.began is None:
+        state.began = state.now
     return apply_event(event, state)
 
 
--- a/src/amaranthferry/registration.py
+++ b/src/amaranthferry/registration.py
@@ -47,7 +47,14 @@
         elif req.state is RequestState.WAITING and decides:
             req.asked = target
             waiting.append(req.ask(state.now))
-    message = Registration(shard=shard, waiting=tuple(waiting), running=tuple(running))
+    usage = state.usage.get(shard)
+    message = Registration(
+        shard=shard,
+        waiting=tuple(waiting),
+        running=tuple(running),
+        used=dict(usage.usage(state.now)) if usage else {},
+        recorded=state.now - (state.began or state.now),
+    )
     return [SendToHost(host=target, message=message)]
 
 
--- a/src/amaranthferry/state.py
+++ b/src/amaranthferry/state.py
@@ -4,6 +4,7 @@
 
 from .config import Deployment
 from .coordinator import Coordinator
+from .quota import UsageRecord
 from .requests import Request
 from .retry import RepeatBudget, RetryBudget
 from .shards import (
@@ -26,6 +27,8 @@
 )
 
 COORDINATOR_TIMEOUT: Seconds = 3.0
+#: How long what a lost host's requests used may count against a quota.
+LOSS_MEMORY: Seconds = 10.0
 
 
 class Choice(msgspec.Struct, frozen=True):
@@ -69,6 +72,9 @@
     pool_shards: dict[PoolId, tuple[ShardId, ...]] = {}
     repeats: dict[PoolId, RepeatBudget] = {}
     ticked_at: Seconds | None = None
+    began: Seconds | None = None
+    usage: dict[ShardId, UsageRecord] = {}
+    lost_hosts: dict[HostId, Seconds] = {}
     coordinator_timeout: Seconds = COORDINATOR_TIMEOUT
 
     def replace_hosts(
@@ -76,6 +82,7 @@
     ) -> None:
         """Replace the live hosts; choose anew only for the shards that it moves."""
         before = self._candidates()
+        self._note_lost(hosts)
         self.hosts = hosts
         self.draining_hosts = draining
         after = self._candidates()
@@ -84,6 +91,18 @@
             if choice.is_moved(shard, gone, come):
                 del self.chosen[shard]
 
+    def _note_lost(self, hosts: tuple[HostId, ...]) -> None:
+        since = self.now - LOSS_MEMORY
+        kept = {h: at for h, at in self.lost_hosts.items() if at >= since}
+        kept |= dict.fromkeys(set(self.hosts) - set(hosts), self.now)
+        self.lost_hosts = {h: at for h, at in kept.items() if h not in hosts}
+
+    def hosts_of_late(self) -> int:
+        """Return how many hosts there are, with those that were lost of late."""
+        since = self.now - LOSS_MEMORY
+        lost = sum(1 for at in self.lost_hosts.values() if at >= since)
+        return len(self.hosts) + lost
+
     def replace_deployment(self, deployment: Deployment) -> None:
         """Put a deployment in the place of the one before."""
         self.deployment = deployment
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -31,6 +31,9 @@
         return _sample(get_args(hint)[0])
     if hint is Any:
         return {"x": [1, None]}
+    if get_origin(hint) is dict:
+        key, value = get_args(hint)
+        return {_sample(key): _sample(value)}
     if get_origin(hint) is tuple:
         return (_sample(get_args(hint)[0]),) * 2
     if isinstance(hint, type) and issubclass(hint, Enum):
