--- a/src/amaranthferry/gateway/decisions.py
+++ b/src/amaranthferry/gateway/decisions.py
@@ -4,9 +4,10 @@
 
 import structlog
 
+from ..coordinator import Coordinator
 from ..messages import Message, PermitGrant, PermitRefusal
 from ..state import HostState
-from ..types import HostId, Seconds, ServerId
+from ..types import HostId, Seconds, ServerId, ShardId
 from .exchange import RoutedExchange
 from .vocabulary import LogEvent
 
@@ -20,9 +21,7 @@
 
 @note_decision.register
 def _(message: PermitGrant, state: HostState, host: HostId) -> None:
-    coordinator = state.coordinators.get(message.shard) or state.fallbacks.get(
-        message.shard
-    )
+    coordinator = _coordinator(state, message.shard)
     record = coordinator.servers.get(message.server) if coordinator else None
     if coordinator is None or record is None or record.plain:
         return
@@ -46,18 +45,27 @@
 
 @note_decision.register
 def _(message: PermitRefusal, state: HostState, host: HostId) -> None:
-    coordinator = state.coordinators.get(message.shard)
+    coordinator = _coordinator(state, message.shard)
+    if coordinator is None:
+        return
     _log.info(
         LogEvent.PERMIT_REFUSED,
         request_id=message.request_id,
         asker=host,
         reason=message.reason,
         retry_after=round(message.retry_after, 2),
-        queue=len(coordinator.queue) if coordinator else None,
+        queue=len(coordinator.queue),
+        slots=coordinator.slots(),
+        running=sum(len(record.permits) for record in coordinator.servers.values()),
+        known=coordinator.quotas.is_known(state.now),
         fallback=message.shard in state.fallbacks,
     )
 
 
+def _coordinator(state: HostState, shard: ShardId) -> Coordinator | None:
+    return state.fallbacks.get(shard) or state.coordinators.get(shard)
+
+
 def note_answer(exchange: RoutedExchange, server: ServerId, now: Seconds) -> None:
     """Log the end of a request that was answered."""
     call = exchange.call
--- a/src/amaranthferry/gateway/vocabulary.py
+++ b/src/amaranthferry/gateway/vocabulary.py
@@ -50,4 +50,4 @@
     DISPATCH_NOT_RUN = "dispatch.not_run"  # request_id, server, status
     DISPATCH_BROKEN = "dispatch.broken"  # request_id, server, problem
     PERMIT_GRANTED = "permit.granted"  # request_id, asker, server, queue, running
-    PERMIT_REFUSED = "permit.refused"  # request_id, asker, reason, queue
+    PERMIT_REFUSED = "permit.refused"  # request_id, asker, reason, queue, slots, known
--- a/src/amaranthferry/quota.py
+++ b/src/amaranthferry/quota.py
@@ -105,6 +105,11 @@
             if workspace not in quotas:
                 del self._accounts[workspace]
 
+    def is_known(self, now: Seconds) -> bool:
+        """Tell whether the ledger knows what was used in a window up to now."""
+        windows = (quota.window for quota in self._quotas.values())
+        return bool(self._known) or now - self._began >= max(windows, default=0.0)
+
     def learn(self, usage: Usage, recorded: Seconds) -> None:
         """Take one host's use of late, and for how long it has kept record."""
         if self._settled:
--- a/tests/test_outlook.py
+++ b/tests/test_outlook.py
@@ -1,3 +1,4 @@
+from collections import Counter
 from math import inf
 
 import pytest
@@ -50,42 +51,65 @@
     assert outlook.wait(LEVEL, 4.0, now, 2) > outlook.wait(LEVEL, 4.0, now, 4)
 
 
-def play(load, *, runs=0.4, seconds=20.0):
-    """Play asks a second against four places; return grants in time and time held."""
-    found = coordinator(servers=2, slots=2)
-    asked, running = {}, []
-    timely, late, held = 0, 0, []
-    for step in range(int(seconds * 100)):
-        now = step / 100
-        messages = tick(found, now) if step % 5 == 0 else []
-        if step % int(100 / load) == 0:
-            name = f"r{step}"
-            asked[name] = now
-            messages += send(found, ask(name, objective=0.6, hold=3.0, out=30), now)
-        for name, server, until in [run for run in running if run[2] <= now]:
-            running.remove((name, server, until))
-            messages += send(found, release(name, server, runs), now)
-        for message in messages:
-            if isinstance(message, PermitGrant):
-                running.append((message.request_id, message.server, now + runs))
-                waited = now - asked[message.request_id]
-                timely, late = timely + (waited <= 0.6), late + (waited > 0.6)
-            elif isinstance(message, PermitRefusal):
-                held.append(now - asked[message.request_id])
-    return timely, late, sum(held) / max(1, len(held))
+class Load:
+    """Play asks a second by rank against four places; count what callers get."""
+
+    def __init__(self, *loads, runs=0.4, seconds=20.0):
+        self.found = coordinator(servers=2, slots=2)
+        self.asked, self.running = {}, []
+        self.timely, self.late = Counter(), Counter()
+        self.held = [[] for _ in loads]
+        for step in range(int(seconds * 100)):
+            now = step / 100
+            messages = tick(self.found, now) if step % 5 == 0 else []
+            for rank, load in enumerate(loads):
+                if load and step % int(100 / load) == 0:
+                    messages += self._ask(f"r{rank}-{step}", rank, now)
+            for run in [run for run in self.running if run[2] <= now]:
+                self.running.remove(run)
+                messages += send(self.found, release(run[0], run[1], runs), now)
+            for message in messages:
+                self._see(message, now, runs)
+
+    def _ask(self, name, rank, now):
+        self.asked[name] = now
+        request = ask(name, rank=rank, objective=0.6, hold=3.0, out=30)
+        return send(self.found, request, now)
+
+    def _see(self, message, now, runs):
+        if isinstance(message, PermitGrant | PermitRefusal):
+            rank = int(message.request_id[1])
+            waited = now - self.asked[message.request_id]
+        if isinstance(message, PermitGrant):
+            self.running.append((message.request_id, message.server, now + runs))
+            (self.timely if waited <= 0.6 else self.late)[rank] += 1
+        elif isinstance(message, PermitRefusal):
+            self.held[rank].append(waited)
+
+    def mean_held(self, rank):
+        return sum(self.held[rank]) / max(1, len(self.held[rank]))
 
 
 @pytest.mark.parametrize("load", [20.0, 25.0])
 def test_overload_is_told_soon_and_as_many_are_served_in_time(monkeypatch, load):
     """Answer a load of twice what the servers can do, beside holding to the end."""
-    timely, late, held = play(load)
+    ours = Load(load)
     monkeypatch.setattr(granting, "HOPELESS", inf)
-    base_timely, base_late, base_held = play(load)
-    assert timely + late >= 0.97 * (base_timely + base_late)
-    assert timely >= 0.97 * base_timely
-    assert held < 0.5 * base_held
+    base = Load(load)
+    assert ours.timely[0] + ours.late[0] >= 0.97 * (base.timely[0] + base.late[0])
+    assert ours.timely[0] >= 0.97 * base.timely[0]
+    assert ours.mean_held(0) < 0.5 * base.mean_held(0)
+
+
+def test_lower_work_is_told_soon_and_keeps_its_share(monkeypatch):
+    """Answer urgent work that fills the servers, with as much lower work."""
+    ours = Load(10.0, 10.0)
+    monkeypatch.setattr(granting, "HOPELESS", inf)
+    base = Load(10.0, 10.0)
+    assert ours.timely[0] >= base.timely[0]
+    assert ours.timely[1] + ours.late[1] >= 0.9 * (base.timely[1] + base.late[1])
+    assert ours.mean_held(1) < 0.5 * base.mean_held(1)
 
 
 def test_a_load_that_fits_is_never_refused():
-    _, _, held = play(8.0)
-    assert held == 0.0
+    assert Load(8.0).held == [[]]
