--- a/src/amaranthferry/application.py
+++ b/src/amaranthferry/application.py
@@ -10,7 +10,6 @@
 import uvicorn
 from returns.result import Result
 
-from . import core
 from .callers import CallerDirectory
 from .claims import ClaimCommitter
 from .config import Deployment, HostConfig
@@ -20,7 +19,6 @@
 from .events import (
     CallerGone,
     DrainStarted,
-    Event,
     FreshnessChanged,
     MembersChanged,
     OrderDrainSeen,
@@ -44,6 +42,7 @@
 from .poller import Poller
 from .presence import HostPresence
 from .publish import Applied, Author, set_drained
+from .shell import Shell
 from .status import HostStatus
 from .types import (
     HostId,
@@ -59,7 +58,7 @@
 _log = structlog.get_logger()
 
 
-class Application:
+class Application(Shell):
     """Own every part of an entry host, and start and stop them in order."""
 
     def __init__(
@@ -74,8 +73,10 @@
         self.cfg = cfg
         self.clock = clock
         self.store = store
-        self.state = HostState(
-            host=cfg.host, zone=cfg.zone, deployment=deployment, hosts=(cfg.host,)
+        super().__init__(
+            HostState(
+                host=cfg.host, zone=cfg.zone, deployment=deployment, hosts=(cfg.host,)
+            )
         )
         self.callers = CallerDirectory(deployment)
         self.metrics = Metrics.from_address(cfg.statsd_address)
@@ -98,7 +99,6 @@
         )
         self._performer = Performer(self)
         self._poller = Poller(self)
-        self._tasks: set[asyncio.Task[None]] = set()
         self._server: uvicorn.Server | None = None
         self._accepting = False
         self._idle = asyncio.Event()
@@ -177,9 +177,7 @@
         if self._server is not None:
             self._server.force_exit = True
             await self._server.shutdown()
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._end_tasks()
         if self._orders is not None:
             await self._orders.stop()
         await self.settings.stop()
@@ -196,31 +194,10 @@
         known = self.state.deployment.version > 0
         return self._accepting and known and self.state.current
 
-    def spawn(self, work: "asyncio._CoroutineLike[None]") -> "asyncio.Task[None]":
-        """Run a task that ends with this application."""
-        task: asyncio.Task[None] = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._task_done)
-        return task
-
-    def _task_done(self, task: "asyncio.Task[None]") -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            _log.error("task.failed", exc_info=task.exception())
-
     def new_request_id(self) -> RequestId:
         """Make an id that no other request has."""
         return RequestId(uuid.uuid4().hex)
 
-    def handle(self, event: Event) -> None:
-        """Take an event through the reducer and carry its effects out."""
-        for effect in core.reduce(self.state, event):
-            self._performer.perform(effect)
-
-    def soon(self, event: Event) -> None:
-        """Take an event after the effects at hand have been carried out."""
-        asyncio.get_running_loop().call_soon(self.handle, event)
-
     def accept(self, arrival: RequestArrived, call: Call) -> Exchange:
         """Take a caller's valid request."""
         limits = self.state.deployment.limits
--- a/src/amaranthferry/gateway/application.py
+++ b/src/amaranthferry/gateway/application.py
@@ -7,14 +7,12 @@
 import msgspec
 import structlog
 
-from .. import core
 from ..catalog import Allotment, deployment_of
 from ..config import Deployment, HostConfig
 from ..core import HostState
 from ..events import (
     CallerGone,
     DrainStarted,
-    Event,
     MembersChanged,
     PeerLost,
     PeerReceived,
@@ -28,6 +26,7 @@
 from ..platform.desired import CONFIG_KIND, SERVER_KIND
 from ..platform.settings import HostSettings
 from ..platform.store import StoreClient
+from ..shell import Shell
 from ..types import HostId, RequestId, Seconds, ShardId
 from .beliefs import ConfigBelief, ServerBelief
 from .dispatching import RoutedCall
@@ -64,18 +63,22 @@
 _log = structlog.get_logger(__name__)
 
 
-class Gateway:
+class Gateway(Shell):
     """Own every part of an entry host for routed requests."""
 
+    _performer: Performer
+
     def __init__(self, settings: HostSettings) -> None:
         self.settings = settings
         self.clock = boot_time
-        self.state = HostState(
-            host=settings.host,
-            zone=settings.zone,
-            deployment=Deployment(name=""),
-            hosts=(settings.host,),
-            coordinator_timeout=COORDINATOR_SILENCE,
+        super().__init__(
+            HostState(
+                host=settings.host,
+                zone=settings.zone,
+                deployment=Deployment(name=""),
+                hosts=(settings.host,),
+                coordinator_timeout=COORDINATOR_SILENCE,
+            )
         )
         self.exchanges: dict[RequestId, RoutedExchange] = {}
         self.config = ConfigBelief(self._apply_config)
@@ -108,7 +111,6 @@
         # The last free port of the machine is the one that the deploy file names.
         metrics_address = f"{settings.address}:{settings.ports[1]}"
         self._metrics = Listener(self._answer_metrics, metrics_address)
-        self._tasks: set[asyncio.Task[None]] = set()
         self._idle = asyncio.Event()
         self._sequence = 0
 
@@ -195,9 +197,7 @@
     async def stop(self) -> None:
         """Stop every part; whatever still runs is cut."""
         await self._frontend.stop()
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._end_tasks()
         if self._members is not None:
             await self._members.stop()
         if self.peers is not None:
@@ -219,18 +219,6 @@
         fresh = self.freshness.is_ready(self.clock())
         return known and fresh and not self.stopping
 
-    def spawn(self, work: "asyncio._CoroutineLike[None]") -> "asyncio.Task[None]":
-        """Run a task that ends with this host."""
-        task: asyncio.Task[None] = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._task_done)
-        return task
-
-    def _task_done(self, task: "asyncio.Task[None]") -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            _log.error(LogEvent.TASK_FAILED, exc_info=task.exception())
-
     def new_request_id(self, attempt: str) -> RequestId:
         """Return an id for a caller's attempt that no other request has."""
         self._sequence += 1
@@ -238,15 +226,6 @@
             return RequestId(attempt)
         return RequestId(f"{self.settings.host}-{self._sequence}")
 
-    def handle(self, event: Event) -> None:
-        """Take an event through the reducer and carry its effects out."""
-        for effect in core.reduce(self.state, event):
-            self._performer.perform(effect)
-
-    def soon(self, event: Event) -> None:
-        """Take an event after the effects at hand have been carried out."""
-        asyncio.get_running_loop().call_soon(self.handle, event)
-
     def accept(self, arrival: RequestArrived, call: RoutedCall) -> RoutedExchange:
         """Take a caller's valid request."""
         exchange = RoutedExchange(call)
