--- a/src/amaranthferry/messages.py
+++ b/src/amaranthferry/messages.py
@@ -118,7 +118,7 @@
     elapsed: Seconds
 
 
-class Registration(Message, frozen=True, tag="register", omit_defaults=True):
+class Registration(Message, frozen=True, tag="register"):
     """Hand a host's waiting and running requests to a shard's new coordinator.
 
     `used` is what its workspaces used of their quotas, by second, the latest first;
