--- a/src/amaranthferry/quota.py
+++ b/src/amaranthferry/quota.py
@@ -7,6 +7,8 @@
 from collections import deque
 from collections.abc import Iterator, Mapping
 
+import msgspec
+
 from .config import Quota
 from .types import Seconds, WorkspaceId
 
@@ -23,36 +25,43 @@
 Usage = Mapping[WorkspaceId, tuple[float, ...]]
 
 
+class Slot(msgspec.Struct):
+    """Hold what was used in one span of time; slots are numbered from time 0."""
+
+    number: int
+    cost: float
+
+
 class SlotCounts:
     """Count one workspace's use by slots of time."""
 
     def __init__(self) -> None:
-        self._slots: deque[list[float]] = deque()
+        self._slots: deque[Slot] = deque()
 
     def add(self, cost: float, number: int) -> None:
         """Count a cost in a slot; late ones count in the latest slot."""
-        if self._slots and number <= self._slots[-1][0]:
-            self._slots[-1][1] += cost
+        if self._slots and number <= self._slots[-1].number:
+            self._slots[-1].cost += cost
         else:
-            self._slots.append([number, cost])
+            self._slots.append(Slot(number, cost))
 
-    def prepend(self, slots: list[tuple[int, float]]) -> None:
+    def prepend(self, slots: list[Slot]) -> None:
         """Count use from before all that was counted here, the latest first."""
-        self._slots.extendleft([number, cost] for number, cost in slots)
+        self._slots.extendleft(slots)
 
     def forget(self, before: int) -> None:
         """Drop the slots before a number."""
-        while self._slots and self._slots[0][0] < before:
+        while self._slots and self._slots[0].number < before:
             self._slots.popleft()
 
-    def __iter__(self) -> Iterator[tuple[int, float]]:
-        """Yield slot numbers and costs, the oldest first."""
-        return ((int(number), cost) for number, cost in self._slots)
+    def __iter__(self) -> Iterator[Slot]:
+        """Yield the slots, the oldest first."""
+        return iter(self._slots)
 
     @property
     def total(self) -> float:
         """Return the cost in all slots."""
-        return sum(cost for _, cost in self._slots)
+        return sum(slot.cost for slot in self._slots)
 
 
 class UsageRecord:
@@ -73,7 +82,7 @@
         found: dict[WorkspaceId, tuple[float, ...]] = {}
         for workspace, counts in self._counts.items():
             counts.forget(latest - KEPT_SLOTS)
-            by_age = {latest - number: cost for number, cost in counts}
+            by_age = {latest - slot.number: slot.cost for slot in counts}
             if by_age:
                 ages = range(max(by_age) + 1)
                 found[workspace] = tuple(by_age.get(age, 0.0) for age in ages)
@@ -81,6 +90,8 @@
 
 
 class _Account:
+    """Hold one workspace's use by slots, and all that this ledger gave it."""
+
     def __init__(self) -> None:
         self.counts = SlotCounts()
         self.spent = 0.0
@@ -94,7 +105,7 @@
         self._accounts: dict[WorkspaceId, _Account] = {}
         self._began = now
         self._settled = False
-        self._known: dict[WorkspaceId, bool] = {}
+        self._known: set[WorkspaceId] = set()
         self._told: dict[WorkspaceId, list[float]] = {}
         self._recorded: list[Seconds] = []
 
@@ -128,7 +139,7 @@
         for workspace, quota in self._quotas.items():
             part = self._part_told(quota, hosts)
             if part >= MIN_KNOWN:
-                self._known[workspace] = True
+                self._known.add(workspace)
                 self._take_over(workspace, part)
         self._told.clear()
         self._recorded.clear()
@@ -142,7 +153,7 @@
         # The slots of hosts begin at different times: use counts as one slot later.
         latest = int(self._began / SLOT)
         slots = [
-            (min(latest, latest - age + 1), cost / part)
+            Slot(min(latest, latest - age + 1), cost / part)
             for age, cost in enumerate(self._told.get(workspace, ()))
             if cost
         ]
@@ -158,7 +169,7 @@
             return 0.0
         account = self._account(workspace)
         wait = self._window_wait(account, quota, cost, now)
-        if not self._known.get(workspace):
+        if workspace not in self._known:
             wait = max(wait, self._start_wait(account, quota, cost, now))
         if wait > 0:
             return min(MAX_WAIT, wait)
@@ -176,9 +187,9 @@
         if excess <= 0:
             return 0.0
         leaves = now
-        for number, used in account.counts:
-            excess -= used
-            leaves = (number + 1) * SLOT + quota.window
+        for slot in account.counts:
+            excess -= slot.cost
+            leaves = (slot.number + 1) * SLOT + quota.window
             if excess <= 0:
                 break
         return max(SLOT, leaves - now)
