Let a pool leave the configuration that has a coordinator

Cause: found when reading the diff: splitting quotas over a pool's shards asks for the number of shards of a pool that the configuration may no longer have, a KeyError in the reducer. Such a pool has one shard, and no servers. The test fails before.

--- a/src/amaranthferry/shards.py
+++ b/src/amaranthferry/shards.py
@@ -10,6 +10,8 @@
 
 def shards_of(deployment: Deployment, pool: PoolId) -> tuple[ShardId, ...]:
     """Return the ids of a pool's shards."""
+    if pool not in deployment.pools:
+        return (ShardId(f"{pool}/0"),)
     members = _pool_servers(deployment, pool)
     size = max(1, deployment.pools[pool].servers_per_shard)
     count = max(1, -(-len(members) // size))
--- a/tests/test_objectives.py
+++ b/tests/test_objectives.py
@@ -16,7 +16,7 @@
 )
 from amaranthferry.coordinator import Coordinator
 from amaranthferry.coordinator_reducer import reduce
-from amaranthferry.events import PeerReceived, Ticked
+from amaranthferry.events import PeerReceived, SettingsApplied, Ticked
 from amaranthferry.messages import (
     PermitAsk,
     PermitGrant,
@@ -311,3 +311,10 @@
         steps.append(count_steps(call))
     # Sixty-four times the queue: six doublings of a sorted list.
     assert steps[1] <= 1.6 * steps[0] + 600
+
+
+def test_a_pool_that_leaves_the_configuration_gets_no_grant():
+    found = coordinator()
+    without = msgspec.structs.replace(deployment(), pools={}, servers={})
+    reduce(found, SettingsApplied(now=1.0, deployment=without))
+    assert granted(send(found, ask("late"), 1.0)) == []
