--- a/src/amaranthferry/demand.py
+++ b/src/amaranthferry/demand.py
@@ -1,7 +1,6 @@
 """Estimate how long a rank has to wait, from drained and arriving work."""
 
-from math import exp
-
+from .fading import FadingSum
 from .prediction import WindowedRate
 from .types import Seconds
 
@@ -16,11 +15,11 @@
     def __init__(self) -> None:
         self._drain: WindowedRate | None = None
         self._drained_at: Seconds = 0.0
-        self._arrived: dict[int, tuple[float, Seconds]] = {}
+        self._arrived: dict[int, FadingSum] = {}
 
     def arrive(self, tier: int, cost: Seconds, now: Seconds) -> None:
         """Count the cost of an arrival."""
-        self._arrived[tier] = (self._weight(tier, now) + cost, now)
+        self._arrived.setdefault(tier, FadingSum(TIME_CONSTANT)).add(cost, now)
 
     def drain(self, cost: Seconds, now: Seconds, *, busy: bool, slots: float) -> None:
         """Count the cost of a finished request; idle times teach nothing."""
@@ -37,12 +36,6 @@
         """
         drain = self._drain.rate if self._drain else max(1.0, slots)
         higher = sum(
-            self._weight(other, now) / TIME_CONSTANT
-            for other in self._arrived
-            if other < tier
+            cost.rate(now) for other, cost in self._arrived.items() if other < tier
         )
         return ahead / max(MIN_PART * drain, drain - higher)
-
-    def _weight(self, tier: int, now: Seconds) -> float:
-        weight, at = self._arrived.get(tier, (0.0, now))
-        return weight * exp(-max(0.0, now - at) / TIME_CONSTANT)
--- a/src/amaranthferry/objectives.py
+++ b/src/amaranthferry/objectives.py
@@ -9,12 +9,13 @@
 from collections import Counter
 from collections.abc import Collection, Iterable, Iterator
 from itertools import islice
-from math import ceil, exp
+from math import ceil
 from typing import NamedTuple
 
 import msgspec
 from sortedcontainers import SortedList
 
+from .fading import FadingSum
 from .lengths import LengthEstimate
 from .order import Rank, Waiter
 from .outlook import Level
@@ -209,20 +210,17 @@
     """
 
     def __init__(self) -> None:
-        self._granted: dict[Level, tuple[float, Seconds]] = {}
+        self._granted: dict[Level, FadingSum] = {}
 
     def note(self, level: Level, cost: Seconds, now: Seconds) -> None:
         """Count the cost of a grant."""
-        self._granted[level] = (self._weight(level, now) + cost, now)
+        self._granted.setdefault(level, FadingSum(SHARE_WINDOW)).add(cost, now)
 
     def is_short(self, level: Level, now: Seconds) -> bool:
         """Tell whether a rank has had less than its part of late."""
-        total = sum(self._weight(other, now) for other in self._granted)
-        return self._weight(level, now) < MINIMUM_SHARE * total
-
-    def _weight(self, level: Level, now: Seconds) -> float:
-        weight, at = self._granted.get(level, (0.0, now))
-        return weight * exp(-max(0.0, now - at) / SHARE_WINDOW)
+        total = sum(cost.value(now) for cost in self._granted.values())
+        own = self._granted.get(level)
+        return (own.value(now) if own else 0.0) < MINIMUM_SHARE * total
 
 
 class ObjectiveChooser:
