Derive what a young ledger gave from its slots

A quota's account kept what it gave beside the slots that add up to it: within a ledger's first window, the only time at which it is asked, no slot has been dropped.

--- a/src/amaranthferry/quota.py
+++ b/src/amaranthferry/quota.py
@@ -89,20 +89,12 @@
         return found
 
 
-class _Account:
-    """Hold one workspace's use by slots, and all that this ledger gave it."""
-
-    def __init__(self) -> None:
-        self.counts = SlotCounts()
-        self.spent = 0.0
-
-
 class QuotaLedger:
     """Account for what the workspaces use of their quotas."""
 
     def __init__(self, now: Seconds = 0.0) -> None:
         self._quotas: Mapping[WorkspaceId, Quota] = {}
-        self._accounts: dict[WorkspaceId, _Account] = {}
+        self._counts: dict[WorkspaceId, SlotCounts] = {}
         self._began = now
         self._settled = False
         self._known: set[WorkspaceId] = set()
@@ -112,9 +104,9 @@
     def apply(self, quotas: Mapping[WorkspaceId, Quota]) -> None:
         """Put quotas in force; what was used stays used."""
         self._quotas = quotas
-        for workspace in list(self._accounts):
+        for workspace in list(self._counts):
             if workspace not in quotas:
-                del self._accounts[workspace]
+                del self._counts[workspace]
 
     def is_known(self, now: Seconds) -> bool:
         """Tell whether the ledger knows what was used in a window up to now."""
@@ -157,37 +149,36 @@
             for age, cost in enumerate(self._told.get(workspace, ()))
             if cost
         ]
-        self._account(workspace).counts.prepend(slots)
+        self._counts_of(workspace).prepend(slots)
 
-    def _account(self, workspace: WorkspaceId) -> _Account:
-        return self._accounts.setdefault(workspace, _Account())
+    def _counts_of(self, workspace: WorkspaceId) -> SlotCounts:
+        return self._counts.setdefault(workspace, SlotCounts())
 
     def take(self, workspace: WorkspaceId, cost: float, now: Seconds) -> Seconds:
         """Take a request's cost; return 0, or the wait until there is room for it."""
         quota = self._quotas.get(workspace)
         if quota is None or quota.rate <= 0 or cost <= 0:
             return 0.0
-        account = self._account(workspace)
-        wait = self._window_wait(account, quota, cost, now)
+        counts = self._counts_of(workspace)
+        wait = self._window_wait(counts, quota, cost, now)
         if workspace not in self._known:
-            wait = max(wait, self._start_wait(account, quota, cost, now))
+            wait = max(wait, self._start_wait(counts, quota, cost, now))
         if wait > 0:
             return min(MAX_WAIT, wait)
-        account.counts.add(cost, int(now / SLOT))
-        account.spent += cost
+        counts.add(cost, int(now / SLOT))
         return 0.0
 
     def _window_wait(
-        self, account: _Account, quota: Quota, cost: float, now: Seconds
+        self, counts: SlotCounts, quota: Quota, cost: float, now: Seconds
     ) -> Seconds:
         """Return the time until the window has room."""
-        account.counts.forget(int((now - quota.window) / SLOT))
+        counts.forget(int((now - quota.window) / SLOT))
         # A request that is larger than the whole room passes an empty window.
-        excess = account.counts.total + min(cost, quota.room) - quota.room
+        excess = counts.total + min(cost, quota.room) - quota.room
         if excess <= 0:
             return 0.0
         leaves = now
-        for slot in account.counts:
+        for slot in counts:
             excess -= slot.cost
             leaves = (slot.number + 1) * SLOT + quota.window
             if excess <= 0:
@@ -195,18 +186,18 @@
         return max(SLOT, leaves - now)
 
     def _start_wait(
-        self, account: _Account, quota: Quota, cost: float, now: Seconds
+        self, counts: SlotCounts, quota: Quota, cost: float, now: Seconds
     ) -> Seconds:
         """Return the wait of an account that can't know what was used before."""
         age = now - self._began
         if age >= quota.window:
             return 0.0
-        needed = account.spent + min(cost, quota.start)
+        # Within its first window the ledger has dropped nothing of what it gave.
+        needed = counts.total + min(cost, quota.start)
         return max(0.0, (needed - quota.start) / quota.rate - age)
 
     def give_back(self, workspace: WorkspaceId, cost: float, now: Seconds) -> None:
         """Return the cost of a request that did not run."""
-        account = self._accounts.get(workspace)
-        if account is not None and cost > 0:
-            account.counts.add(-cost, int(now / SLOT))
-            account.spent -= cost
+        counts = self._counts.get(workspace)
+        if counts is not None and cost > 0:
+            counts.add(-cost, int(now / SLOT))
