Read bodies for both edges in one place

The edge for routed requests wrote the loop, the time, the limit and both errors of the product's edge again. Both now call read_body and differ in where chunks come from.

--- /dev/null
+++ b/src/amaranthferry/bodies.py
@@ -0,0 +1,39 @@
+"""Read callers' bodies within a time and a size."""
+
+import asyncio
+from collections.abc import AsyncIterable
+
+from .exceptions import RequestError
+from .types import Seconds
+
+BODY_TIMEOUT: Seconds = 30.0
+
+
+async def read_body(chunks: AsyncIterable[bytes], limit: int) -> bytes:
+    """Return a whole body of at most `limit` bytes; raise RequestError."""
+    parts: list[bytes] = []
+    size = 0
+    try:
+        async with asyncio.timeout(BODY_TIMEOUT):
+            async for chunk in chunks:
+                parts.append(chunk)
+                size += len(chunk)
+                if size > limit:
+                    raise _too_large(limit)
+    except TimeoutError as exc:
+        raise RequestError(
+            "The body took too long to arrive.",
+            remedy=f"Send it within {BODY_TIMEOUT:g} s.",
+            status=408,
+            code="body_timeout",
+        ) from exc
+    return b"".join(parts)
+
+
+def _too_large(limit: int) -> RequestError:
+    return RequestError(
+        "The body is too large.",
+        remedy=f"Send at most {limit} bytes.",
+        status=413,
+        code="body_too_large",
+    )
--- a/src/amaranthferry/edge.py
+++ b/src/amaranthferry/edge.py
@@ -1,6 +1,5 @@
 """Serve callers and operators over HTTP."""
 
-import asyncio
 import hashlib
 import uuid
 from collections.abc import Awaitable, Callable
@@ -16,6 +15,7 @@
 
 from .answer import AnswerResponse, send_problem
 from .audit import encode_entries
+from .bodies import read_body
 from .callers import CallerDirectory, Terms, Work
 from .config import WorkClass, Workspace
 from .engine import end_to_end
@@ -24,12 +24,11 @@
 from .exchange import Call
 from .problems import Problem
 from .publish import Author
-from .types import ClassId, PoolKind, Seconds, ServerId
+from .types import ClassId, PoolKind, ServerId
 
 if TYPE_CHECKING:
     from .application import Application
 
-BODY_TIMEOUT: Seconds = 30.0
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 ALL_METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
 _SCHEDULER_HEADERS = frozenset(
@@ -160,22 +159,7 @@
         return self._callers.work_class(workspace, req.headers, default)
 
     async def _read_body(self, req: Request) -> bytes:
-        limit = self._callers.deployment.limits.max_body
-        body = bytearray()
-        try:
-            async with asyncio.timeout(BODY_TIMEOUT):
-                async for chunk in req.stream():
-                    body += chunk
-                    if len(body) > limit:
-                        raise _too_large(limit)
-        except TimeoutError as exc:
-            raise RequestError(
-                "The body took too long to arrive.",
-                remedy=f"Send it within {BODY_TIMEOUT:g} s.",
-                status=408,
-                code="body_timeout",
-            ) from exc
-        return bytes(body)
+        return await read_body(req.stream(), self._callers.deployment.limits.max_body)
 
     async def _models(self, req: Request) -> ASGIApp:
         self._callers.workspace(req.headers)
@@ -258,15 +242,6 @@
     return Response(body, status_code=status, media_type="application/json")
 
 
-def _too_large(limit: int) -> RequestError:
-    return RequestError(
-        "The body is too large.",
-        remedy=f"Send at most {limit} bytes.",
-        status=413,
-        code="body_too_large",
-    )
-
-
 def _not_kept(exc: AmaranthferryError) -> RequestError:
     return RequestError(
         f"Live hosts have been told, but the change was not kept. {exc.message}",
--- a/src/amaranthferry/gateway/edge.py
+++ b/src/amaranthferry/gateway/edge.py
@@ -1,11 +1,12 @@
 """Take routed requests from callers over HTTP, and answer them."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, MutableMapping
+from collections.abc import AsyncIterator, Awaitable, Callable, MutableMapping
 from typing import TYPE_CHECKING, Any
 
 import structlog
 
+from ..bodies import read_body
 from ..catalog import (
     ANONYMOUS,
     Route,
@@ -33,7 +34,6 @@
 
 #: What a request may take where neither the caller nor its route says.
 DEFAULT_TIMEOUT: Seconds = 30.0
-BODY_TIMEOUT: Seconds = 30.0
 #: When a caller should come back to a host that knows no configuration yet.
 BELIEF_RETRY: Seconds = 0.5
 #: When a caller of a stopping host should try the next one.
@@ -123,7 +123,7 @@
         routed = directory.catalog.services.get(service)
         if routed is None:
             raise _unready("The route's service is not configured.")
-        body = await _read_body(receive, directory.catalog.limits.max_body)
+        body = await read_body(_chunks(receive), directory.catalog.limits.max_body)
         limit = route.timeout or DEFAULT_TIMEOUT
         call = RoutedCall(
             request_id=self._app.new_request_id(terms.attempt),
@@ -242,37 +242,14 @@
     """Have the server close the connection of a stream that ends early."""
 
 
-async def _read_body(receive: Receive, limit: int) -> bytes:
-    try:
-        async with asyncio.timeout(BODY_TIMEOUT):
-            return await _read_parts(receive, limit)
-    except TimeoutError as exc:
-        raise RequestError(
-            "The body took too long to arrive.",
-            remedy=f"Send it within {BODY_TIMEOUT:g} s.",
-            status=408,
-            code="body_timeout",
-        ) from exc
-
-
-async def _read_parts(receive: Receive, limit: int) -> bytes:
-    parts: list[bytes] = []
-    size = 0
-    while True:
+async def _chunks(receive: Receive) -> AsyncIterator[bytes]:
+    more = True
+    while more:
         message = await receive()
         if message["type"] == "http.disconnect":
             raise CallerLeft
-        parts.append(message.get("body", b""))
-        size += len(parts[-1])
-        if size > limit:
-            raise RequestError(
-                "The body is too large.",
-                remedy=f"Send at most {limit} bytes.",
-                status=413,
-                code="body_too_large",
-            )
-        if not message.get("more_body", False):
-            return b"".join(parts)
+        yield message.get("body", b"")
+        more = message.get("more_body", False)
 
 
 def _target(scope: Scope) -> str:
