--- a/src/amaranthferry/gateway/application.py
+++ b/src/amaranthferry/gateway/application.py
@@ -27,7 +27,7 @@
 from ..platform.settings import HostSettings
 from ..platform.store import StoreClient
 from ..shell import Shell
-from ..types import HostId, RequestId, Seconds, ShardId
+from ..types import HostId, RequestId, Seconds, ShardId, StoreEra
 from .caches import ConfigCache, ServerCache
 from .dispatching import RoutedCall
 from .edge import Edge, Receive, Scope, Send
@@ -85,12 +85,13 @@
         self.exchanges: dict[RequestId, RoutedExchange] = {}
         self.config = ConfigCache(self._apply_config)
         self.freshness = Freshness(settings.bounds.revoke)
-        self.servers = ServerCache(self._apply_deployment)
+        self.servers = ServerCache(self._apply_deployment, heartbeat=settings.heartbeat)
         self.peers: PeerNetwork | None = None
         self.telemetry = Telemetry()
         self.stopping = False
         self.refusing = False
         self._store = StoreClient(settings.store)
+        self._store.on_era = self._handle_store_era
         self._peer_address = f"{settings.address}:{settings.ports[0]}"
         self._directory = HostDirectory(
             self._store,
@@ -102,7 +103,7 @@
         self._listed_hosts: dict[HostId, str] = {}
         self._has_host_list = False
         self._found: dict[HostId, str] = {}
-        self._started_at = boot_time()
+        self._started_at = self._joined_at = boot_time()
         self._initialized = asyncio.Event()
         self._keys_current = False
         self._roles: tuple[dict[ShardId, HostId], tuple[ShardId, ...]] = ({}, ())
@@ -155,22 +156,44 @@
         self.spawn(self._tick())
 
     async def _join(self) -> None:
-        """Join the other hosts once the shared peer key has been read."""
+        """Join the other hosts once the shared peer key has been read.
+
+        A restored store may hold another key; the hosts then join again with that one.
+        """
+        while True:
+            await self._open_peers(await self._directory.peer_key())
+            await self._directory.run()
+            await self._close_peers()
+
+    async def _open_peers(self, key: str) -> None:
         cfg = HostConfig(
             host=self.settings.host,
             zone=self.settings.zone,
             http_address=self.settings.frontend,
             peer_address=self._peer_address,
             platform_url=self.settings.store,
-            peer_key=await self._directory.peer_key(),
+            peer_key=key,
         )
+        self._joined_at = self.clock()
         self.peers = PeerNetwork(
             cfg, on_message=self._receive, on_lost=self._handle_peer_lost
         )
         await self.peers.start()
         self._members = MembershipAgent(cfg, on_members=self._set_members)
         await self._members.start()
-        await self._directory.run()
+        self._members.set_candidates(tuple(self._listed_hosts.values()))
+
+    async def _close_peers(self) -> None:
+        if self._members is not None:
+            await self._members.stop()
+        if self.peers is not None:
+            await self.peers.stop()
+        self._members = self.peers = None
+
+    def _handle_store_era(self, old: StoreEra, new: StoreEra) -> None:
+        """Have the directory check what this host wrote to a restored store."""
+        _log.warning(LogEvent.STORE_ERA_SEEN, era=new, old_era=old)
+        self._directory.handle_restored()
 
     async def drain(self) -> None:
         """Hand over the coordinator role and finish requests in the grace period."""
@@ -202,10 +225,7 @@
         """Stop every component and abort the requests that still run."""
         await self._frontend.stop()
         await self._cancel_tasks()
-        if self._members is not None:
-            await self._members.stop()
-        if self.peers is not None:
-            await self.peers.stop()
+        await self._close_peers()
         await self._store.stop()
         await self._metrics.stop()
         await self._readiness.stop()
@@ -216,6 +236,11 @@
         """Return the number of calls that this host has made to the store."""
         return self._store.calls
 
+    @property
+    def store_era(self) -> StoreEra:
+        """Return the era of the store as this host last saw it."""
+        return StoreEra(self._store.era or 0)
+
     @property
     def is_ready(self) -> bool:
         """Return whether the load balancer may send new connections to this host."""
@@ -293,7 +318,7 @@
         assert self.peers is not None
         # Until membership has found the other hosts, a host that regarded itself as
         # the only one would coordinate every shard.
-        joining = self.clock() - self._started_at < JOIN_PERIOD
+        joining = self.clock() - self._joined_at < JOIN_PERIOD
         addresses = (
             {**self._listed_hosts, **member_addresses} if joining else member_addresses
         )
--- a/src/amaranthferry/gateway/caches.py
+++ b/src/amaranthferry/gateway/caches.py
@@ -8,7 +8,7 @@
 from ..exceptions import SettingsError
 from ..messages import ObjectChange
 from ..platform.desired import CONFIG_NAME, read_catalog, read_instance
-from ..types import ServerId
+from ..types import Seconds, ServerId
 from .freshness import boot_time
 from .log_events import LogEvent
 from .roster import ServerRoster
@@ -32,6 +32,10 @@
         """Apply a listed configuration."""
         self.apply(objects)
 
+    def restore(self, objects: list[ObjectChange]) -> None:
+        """Apply a restored store's configuration, unless the active one is newer."""
+        self.apply(objects)
+
     def apply(self, changes: list[ObjectChange]) -> None:
         """Apply the newest of some configuration changes."""
         candidates = [
@@ -72,15 +76,19 @@
 class ServerCache:
     """Cache the server entries."""
 
-    def __init__(self, on_servers: Callable[[], None]) -> None:
-        self.roster = ServerRoster()
+    def __init__(
+        self, on_servers: Callable[[], None], *, heartbeat: Seconds = 1.0
+    ) -> None:
+        self.roster = ServerRoster(heartbeat)
         self._on_servers = on_servers
 
     def replace(self, objects: list[ObjectChange]) -> None:
         """Replace all entries, leaving out those that cannot be decoded."""
-        decoded = (_decode_instance(item) for item in objects)
-        instances = [instance for instance in decoded if instance is not None]
-        self._notify(self.roster.replace(instances, boot_time()))
+        self._notify(self.roster.replace(_decode_instances(objects), boot_time()))
+
+    def restore(self, objects: list[ObjectChange]) -> None:
+        """Replace all entries by those of a store that was restored from a copy."""
+        self._notify(self.roster.restore(_decode_instances(objects), boot_time()))
 
     def apply(self, changes: list[ObjectChange]) -> None:
         """Apply changed entries."""
@@ -110,6 +118,11 @@
         self.roster.mark_store_available(boot_time())
 
 
+def _decode_instances(objects: list[ObjectChange]) -> list[Instance]:
+    decoded = (_decode_instance(item) for item in objects)
+    return [instance for instance in decoded if instance is not None]
+
+
 def _decode_instance(item: ObjectChange) -> Instance | None:
     instance = read_instance(item.name, item.spec)
     if instance is None:
--- a/src/amaranthferry/gateway/log_events.py
+++ b/src/amaranthferry/gateway/log_events.py
@@ -27,7 +27,12 @@
     SERVER_SEEN = "server.seen"  # server, service, state, born
     SERVER_GONE = "server.gone"  # server
     SERVER_ENTRY_UNREADABLE = "server_entry.unreadable"  # name, revision
-    HISTORY_GONE = "watch.history_gone"  # kind
+    HISTORY_GONE = "watch.history_gone"  # kind, revision
+    STORE_ERA_SEEN = "store.era_seen"  # era, old_era
+    STORE_ERA_REFUSED = "store.era_refused"  # kind, problem
+    STORE_RESTORED = "store.restored"  # kind, era, revision, lost_era, lost_revision
+    SERVER_WITHHELD = "server.withheld"  # server, known, listed
+    SERVER_RELEASED = "server.released"  # server, reason
     STORE_LOST = "store.lost"  # kind, problem
     STORE_REGAINED = "store.regained"  # kind
     FRESHNESS_CHANGED = "freshness.changed"  # current, age
@@ -38,6 +43,8 @@
     PEER_LOST = "peer.lost"  # peer
     COORDINATORS_CHANGED = "coordinators.changed"  # coordinators, fallbacks
     PEER_KEY_NOT_READ = "peer_key.not_read"  # problem
+    PEER_KEY_CHANGED = "peer_key.changed"
+    HOST_ENTRY_WRITTEN = "host_entry.written"  # era, hosts
     HOSTS_NOT_READ = "hosts.not_read"  # problem
     HOST_ENTRY_UNREADABLE = "host_entry.unreadable"  # name
 
--- a/src/amaranthferry/gateway/presence.py
+++ b/src/amaranthferry/gateway/presence.py
@@ -1,6 +1,7 @@
 """Find the other entry hosts, and the key they share, through the store."""
 
 import asyncio
+import contextlib
 import random
 import secrets
 from collections.abc import Callable
@@ -9,8 +10,9 @@
 import structlog
 
 from ..exceptions import AmaranthferryError, StoreUnavailable, VersionConflict
-from ..platform.store import Listing, StoreClient, StoredObject
+from ..platform.store import StoreClient, StoredObject
 from ..types import HostId, Seconds
+from .freshness import boot_time
 from .log_events import LogEvent
 
 HOST_KIND = "entryhosts"
@@ -18,6 +20,10 @@
 KEY_NAME = "main"
 KEY_BYTES = 32
 RETRY_PAUSE: Seconds = 0.3
+#: Time that hosts which hold the key get to write it again to a restored store.
+KEY_RETURN_TIME: Seconds = 2.0
+#: Period over which the hosts spread their checks of a restored store.
+RESTORED_CHECK_SPREAD: Seconds = 1.0
 #: Hosts that start together don't see each other's entries in the first list.
 SECOND_LIST_PAUSE: Seconds = 1.0
 REFRESH_PERIOD: Seconds = 60.0
@@ -49,20 +55,36 @@
         self._host = host
         self._entry = HostEntry(address)
         self._on_hosts = on_hosts
+        self._key = ""
+        self._restored = asyncio.Event()
+
+    def handle_restored(self) -> None:
+        """Check soon that what this host wrote is in the restored store."""
+        self._restored.set()
 
     async def peer_key(self) -> str:
         """Return the key that all hosts share; the first host creates it."""
-        while True:
+        began = boot_time()
+        while not self._key:
             try:
-                return await self._read_key()
+                patient = boot_time() - began < KEY_RETURN_TIME
+                self._key = await self._read_key(patient=patient)
             except AmaranthferryError as exc:
                 _log.info(LogEvent.PEER_KEY_NOT_READ, problem=exc.message)
                 await asyncio.sleep(random.uniform(RETRY_PAUSE / 2, RETRY_PAUSE))
+        return self._key
 
-    async def _read_key(self) -> str:
+    async def _read_key(self, *, patient: bool) -> str:
+        """Return the stored key, or create it; a patient host leaves that to others."""
         stored = await self._store.get(KEY_KIND, KEY_NAME)
+        if stored is None and patient and not self._key and await self._has_hosts():
+            raise StoreUnavailable(
+                "The peer key is missing, though other hosts are listed.",
+                remedy="Wait until a host that holds it has written it again.",
+            )
         if stored is None:
-            spec = msgspec.to_builtins(_PeerKey(secrets.token_hex(KEY_BYTES)))
+            key = self._key or secrets.token_hex(KEY_BYTES)
+            spec = msgspec.to_builtins(_PeerKey(key))
             try:
                 stored = await self._store.create(KEY_KIND, KEY_NAME, spec)
             except VersionConflict:
@@ -73,43 +95,66 @@
             )
         return msgspec.convert(stored.spec, _PeerKey).key
 
+    async def _has_hosts(self) -> bool:
+        return bool((await self._store.list(HOST_KIND)).entries)
+
     async def run(self) -> None:
-        """Write this host's entry and list the others periodically."""
+        """Keep this host's entry written, and list the others periodically.
+
+        Return when a restored store holds another key, for this host to join with it.
+        """
         pause = SECOND_LIST_PAUSE
-        written = False
         while True:
             try:
-                if not written:
-                    await self._write()
-                    written = True
-                self._report(await self._store.list(HOST_KIND))
+                if self._restored.is_set() and await self._key_has_changed():
+                    return
+                await self._list_hosts()
             except AmaranthferryError as exc:
                 _log.info(LogEvent.HOSTS_NOT_READ, problem=exc.message)
                 await asyncio.sleep(random.uniform(RETRY_PAUSE, 2 * RETRY_PAUSE))
                 continue
-            await asyncio.sleep(pause)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(pause):
+                    await self._restored.wait()
+                    await asyncio.sleep(random.uniform(0.0, RESTORED_CHECK_SPREAD))
             pause = random.uniform(REFRESH_PERIOD, 2 * REFRESH_PERIOD)
 
-    async def _write(self) -> None:
-        spec = msgspec.to_builtins(self._entry)
+    async def _key_has_changed(self) -> bool:
+        """Write the key again if the restored store has lost it; adopt another one."""
+        self._restored.clear()
         try:
-            await self._store.create(HOST_KIND, self._host, spec)
-        except VersionConflict:
-            stored = await self._store.get(HOST_KIND, self._host)
-            if stored is not None and _decode_entry(stored) != self._entry:
-                await self._store.delete(HOST_KIND, self._host)
-                await self._store.create(HOST_KIND, self._host, spec)
-
-    def _report(self, listing: Listing) -> None:
+            key = await self._read_key(patient=False)
+        except AmaranthferryError:
+            self._restored.set()
+            raise
+        changed = key != self._key
+        self._key = key
+        if changed:
+            _log.warning(LogEvent.PEER_KEY_CHANGED)
+        return changed
+
+    async def _list_hosts(self) -> None:
+        """List the hosts, and write this host's entry if it is missing or differs."""
+        listing = await self._store.list(HOST_KIND)
         entries = {
             HostId(item.metadata.name): _decode_entry(item) for item in listing.entries
         }
-        others = {
-            host: entry.address
-            for host, entry in entries.items()
-            if entry is not None and host != self._host
-        }
-        self._on_hosts(others)
+        own = entries.pop(self._host, None)
+        if own != self._entry:
+            if any(item.metadata.name == self._host for item in listing.entries):
+                await self._store.delete(HOST_KIND, self._host)
+            spec = msgspec.to_builtins(self._entry)
+            await self._store.create(HOST_KIND, self._host, spec)
+            _log.info(
+                LogEvent.HOST_ENTRY_WRITTEN, era=listing.era, hosts=len(entries) + 1
+            )
+        self._on_hosts(
+            {
+                host: entry.address
+                for host, entry in entries.items()
+                if entry is not None
+            }
+        )
 
 
 def _decode_entry(stored: StoredObject) -> HostEntry | None:
--- a/src/amaranthferry/gateway/store_sync.py
+++ b/src/amaranthferry/gateway/store_sync.py
@@ -16,6 +16,7 @@
 from ..codec import encode
 from ..exceptions import FrameError
 from ..messages import Message, StoreUpdate, StoreUpdateRequest
+from ..platform.store import Position
 from ..types import HostId, Seconds
 from .freshness import boot_time
 from .log_events import LogEvent
@@ -28,6 +29,11 @@
 MAX_UPDATE_AGE: Seconds = 2.0
 #: Larger changes are cheaper to read from the store than to send to every host.
 MAX_UPDATE_BYTES = 8_192
+#: Bounds of the pause after a read that ends before its wait is over or fails.
+MIN_READ_PAUSE: Seconds = 0.05
+MAX_READ_PAUSE: Seconds = 0.5
+#: Period over which the hosts spread their reads of a restored store.
+RESTORED_READ_SPREAD: Seconds = 0.5
 _log = structlog.get_logger(__name__)
 
 Send = Callable[[HostId, Message], bool]
@@ -65,6 +71,7 @@
         self._pending: dict[int, asyncio.Future[StoreUpdate]] = {}
         self._last_number = 0
         self._read_needed = asyncio.Event()
+        self._read_spread: Seconds = 0.0
         state.on_change = self._broadcast
 
     @property
@@ -83,15 +90,18 @@
 
     async def run(self) -> None:
         """Read the store if this host is a reader, or request updates from readers."""
-        failures = 0
+        fruitless = 0
         while True:
-            if self.is_reader or self._state.revision is None:
+            if self.is_reader or self._state.position is None:
+                began, before = boot_time(), self._state.position
                 succeeded = await self._reader.read(self._wait)
+                early = boot_time() - began < self._wait / 2
+                fruitful = succeeded and (not early or self._state.position != before)
             else:
-                succeeded = await self._sync_from_readers()
-            failures = 0 if succeeded else failures + 1
-            if not succeeded:
-                await asyncio.sleep(random.uniform(0.05, 0.1) * min(failures, 5))
+                fruitful, early = await self._sync_from_readers(), False
+            fruitless = 0 if fruitful else fruitless + 1
+            if early or not fruitful:
+                await asyncio.sleep(_read_pause(fruitless))
 
     async def _sync_from_readers(self) -> bool:
         """Request an update from each reader in turn; fall back to the store."""
@@ -103,19 +113,21 @@
                         await self._read_needed.wait()
                 except TimeoutError:
                     return True
+                if self._read_spread:
+                    await asyncio.sleep(random.uniform(0.0, self._read_spread))
+                    self._read_spread = 0.0
                 return await self._reader.read()
         return await self._reader.read(self._wait)
 
     async def _request_update(self, reader: HostId) -> bool:
         self._last_number += 1
         number, sent = self._last_number, boot_time()
-        revision = self._state.revision or 0
+        revision, era = self._state.revision or 0, self._state.era
         fut = asyncio.get_running_loop().create_future()
         self._pending[number] = fut
         try:
-            if not self._send(
-                reader, StoreUpdateRequest(number, self._state.kind, revision)
-            ):
+            request = StoreUpdateRequest(number, self._state.kind, revision, era)
+            if not self._send(reader, request):
                 return False
             async with asyncio.timeout(ANSWER_TIMEOUT):
                 update = await fut
@@ -130,9 +142,11 @@
         return True
 
     def _apply(self, update: StoreUpdate) -> bool:
-        """Apply an update; return whether it continues from the known revision."""
-        known = self._state.revision
-        if update.changes is None or known is None or update.since > known:
+        """Apply an update; return whether it continues from the known position."""
+        known = self._state.position
+        if update.changes is None or known is None or update.era != known.era:
+            return False
+        if update.since > known.revision:
             return False
         self._state.advance(list(update.changes), update.revision)
         return True
@@ -147,14 +161,26 @@
         fut = self._pending.get(message.number)
         if fut is not None and not fut.done():
             fut.set_result(message)
-        elif not message.number and not self._apply(message):
-            self._read_needed.set()
+        elif not message.number:
+            self._receive_broadcast(message)
+
+    def _receive_broadcast(self, update: StoreUpdate) -> None:
+        """Apply an unsolicited update, or read the store if it doesn't continue."""
+        known = self._state.position
+        if known is not None and Position(update.era, update.revision) <= known:
+            return
+        if self._apply(update):
+            return
+        if update.era > self._state.era:
+            self._read_spread = RESTORED_READ_SPREAD
+        self._read_needed.set()
 
     def _reply(self, sender: HostId, request: StoreUpdateRequest) -> None:
         age = self._state.freshness.age(boot_time())
         if age is None or self._state.revision is None:
             return
-        changes = self._state.changes_since(request.revision)
+        same_era = request.era == self._state.era
+        changes = self._state.changes_since(request.revision) if same_era else None
         update = StoreUpdate(
             request.number,
             request.kind,
@@ -162,6 +188,7 @@
             self._state.revision,
             age,
             changes,
+            self._state.era,
         )
         self._send(sender, self._limit_size(update))
 
@@ -171,7 +198,13 @@
             return
         changes = self._state.changes_since(since)
         update = StoreUpdate(
-            0, self._state.kind, since, self._state.revision, 0.0, changes
+            0,
+            self._state.kind,
+            since,
+            self._state.revision,
+            0.0,
+            changes,
+            self._state.era,
         )
         update = self._limit_size(update)
         for host in self._others:
@@ -195,4 +228,11 @@
             update.revision,
             update.age,
             changes=None,
+            era=update.era,
         )
+
+
+def _read_pause(fruitless: int) -> Seconds:
+    """Return a random pause that grows with the number of fruitless reads in a row."""
+    longest = min(2 * MIN_READ_PAUSE * max(1, fruitless), MAX_READ_PAUSE)
+    return random.uniform(longest / 2, longest)
--- a/src/amaranthferry/gateway/telemetry.py
+++ b/src/amaranthferry/gateway/telemetry.py
@@ -166,6 +166,7 @@
             {(): -1.0 if age is None else age},
         ),
         ("store_calls", "Calls to the store so far.", (), {(): app.store_calls}),
+        ("store_era", "Era of the store, as last seen.", (), {(): app.store_era}),
         (
             "servers",
             "Servers by service that get new work.",
--- a/src/amaranthferry/gateway/watching.py
+++ b/src/amaranthferry/gateway/watching.py
@@ -6,15 +6,25 @@
 
 import structlog
 
-from ..exceptions import AmaranthferryError
+from ..exceptions import AmaranthferryError, StoreUnavailable
 from ..messages import ObjectChange
-from ..platform.store import Changes, HistoryGone, Listing, StoreClient, StoredObject
-from ..types import Seconds
+from ..platform.store import (
+    Changes,
+    EraRefused,
+    HistoryGone,
+    Listing,
+    Position,
+    StoreClient,
+    StoredObject,
+)
+from ..types import Seconds, StoreEra
 from .freshness import Freshness, boot_time
 from .log_events import LogEvent
 
 #: Changes retained for peers; a peer that is further behind reads the store itself.
 MAX_KEPT_CHANGES = 256
+#: Lower than every revision, so that no changes since then are retained.
+NO_REVISION = -1
 _log = structlog.get_logger(__name__)
 
 
@@ -24,6 +34,9 @@
     def replace(self, objects: list[ObjectChange]) -> None:
         """Replace all objects of the kind."""
 
+    def restore(self, objects: list[ObjectChange]) -> None:
+        """Replace all objects by those of a store that was restored from a copy."""
+
     def apply(self, changes: list[ObjectChange]) -> None:
         """Apply changes to the objects."""
 
@@ -35,29 +48,69 @@
 
 
 class SyncState:
-    """Track the known revision, recent changes and freshness of one kind."""
+    """Track the known position, recent changes and freshness of one kind.
+
+    A position of an older era never replaces one of a newer era.
+    """
 
     def __init__(self, kind: str, cache: ObjectCache, freshness: Freshness) -> None:
         self.kind = kind
         self.freshness = freshness
-        self.revision: int | None = None
+        self.position: Position | None = None
         self.on_change: Callable[[int], None] = lambda since: None
         self._cache = cache
         self._changes: deque[ObjectChange] = deque(maxlen=MAX_KEPT_CHANGES)
         self._oldest_revision = 0
         self._unavailable = False
 
+    @property
+    def revision(self) -> int | None:
+        """Return the known revision, or None before the first read."""
+        return None if self.position is None else self.position.revision
+
+    @property
+    def era(self) -> StoreEra:
+        """Return the era of the known position."""
+        return StoreEra(0) if self.position is None else self.position.era
+
     def apply_list(self, listing: Listing, sent: Seconds) -> None:
-        """Apply a complete list, from a read sent at the given time."""
+        """Apply a complete list, from a read sent at the given time.
+
+        An older list than what is known by now, from peers, only confirms it.
+        """
+        if listing.era < self.era:
+            return
         self._mark_available()
-        if self.revision is None or listing.revision >= self.revision:
+        before = self.position
+        if before is None or listing.position >= before:
             self._changes.clear()
-            self._oldest_revision = self.revision = listing.revision
-            self._cache.replace([_to_change(item) for item in listing.entries])
+            self.position = listing.position
+            self._oldest_revision = listing.revision
+            objects = [_to_change(item) for item in listing.entries]
+            if before is None or listing.era == before.era:
+                self._cache.replace(objects)
+            else:
+                self._apply_restored(objects, before)
         self.freshness.confirm(sent)
 
+    def _apply_restored(self, objects: list[ObjectChange], before: Position) -> None:
+        """Replace the objects of an older era, and have the peers read them too."""
+        _log.warning(
+            LogEvent.STORE_RESTORED,
+            kind=self.kind,
+            era=self.era,
+            revision=self.revision,
+            lost_era=before.era,
+            lost_revision=before.revision,
+            objects=len(objects),
+        )
+        self._cache.restore(objects)
+        self.on_change(NO_REVISION)
+
     def apply_changes(self, changes: Changes, sent: Seconds) -> None:
         """Apply the changes from a watch sent at the given time."""
+        if changes.era != self.era:
+            return
         self._mark_available()
         found = [_to_change(item.object, item.deleted) for item in changes.events]
         self.advance(found, changes.at)
@@ -67,7 +120,7 @@
         """Apply the changes up to a revision, except those already known."""
         before = self.revision or 0
         unseen = [change for change in changes if change.revision > before]
-        self.revision = max(before, revision)
+        self.position = Position(self.era, max(before, revision))
         if not unseen:
             return
         # The revision of the latest retained change is enough for peers to continue
@@ -114,28 +167,51 @@
         """Make one read and return whether it succeeded."""
         try:
             await self._read(wait)
+        except EraRefused as exc:
+            _log.warning(
+                LogEvent.STORE_ERA_REFUSED, kind=self._state.kind, problem=exc.message
+            )
+            self._state.mark_unavailable(exc.message)
+            return False
         except AmaranthferryError as exc:
             self._state.mark_unavailable(exc.message)
             return False
         return True
 
     async def _read(self, wait: Seconds) -> None:
-        state = self._state
-        if state.revision is None:
+        state, known = self._state, self._state.position
+        if known is None:
             await self._list()
             return
         sent = boot_time()
         try:
-            changes = await self._store.watch(state.kind, state.revision, wait=wait)
+            changes = await self._store.watch(state.kind, known.revision, wait=wait)
         except HistoryGone:
-            _log.info(LogEvent.HISTORY_GONE, kind=state.kind)
+            _log.info(LogEvent.HISTORY_GONE, kind=state.kind, revision=known.revision)
             await self._list()
-        else:
-            state.apply_changes(changes, sent)
+            return
+        if changes.era > known.era:
+            # The revision was of the old era, so these changes don't follow from it.
+            await self._list()
+            return
+        _check_not_older(changes.position, known)
+        state.apply_changes(changes, sent)
 
     async def _list(self) -> None:
-        sent = boot_time()
-        self._state.apply_list(await self._store.list(self._state.kind), sent)
+        sent, known = boot_time(), self._state.position
+        listing = await self._store.list(self._state.kind)
+        if known is not None:
+            _check_not_older(listing.position, known)
+        self._state.apply_list(listing, sent)
+
+
+def _check_not_older(found: Position, known: Position) -> None:
+    """Raise StoreUnavailable for an answer from before what was known at its call."""
+    if found < known:
+        raise StoreUnavailable(
+            f"The store answered from {found}, older than the known {known}.",
+            remedy="Check that a restored store raises its era.",
+        )
 
 
 def _to_change(item: StoredObject, deleted: bool = False) -> ObjectChange:
--- a/src/amaranthferry/messages.py
+++ b/src/amaranthferry/messages.py
@@ -14,6 +14,7 @@
     ServerState,
     ServerStateSource,
     ShardId,
+    StoreEra,
     Tokens,
     WorkspaceId,
     ZoneId,
@@ -146,6 +147,7 @@
     number: int
     kind: str
     revision: int
+    era: StoreEra = StoreEra(0)
 
 
 class ObjectChange(msgspec.Struct, frozen=True, array_like=True):
@@ -160,9 +162,10 @@
 class StoreUpdate(Message, frozen=True, tag="news"):
     """Forward the changes of a kind that were read from the store.
 
-    The changes lead from `since` to `revision`; without them the receiver must read
-    the store itself. A reply carries the number of its request and the age of the read
-    that confirmed it; an unsolicited update has the number 0 and confirms nothing.
+    The changes lead from `since` to `revision`, both of one era; without them the
+    receiver must read the store itself. A reply carries the number of its request and
+    the age of the read that confirmed it; an unsolicited update has the number 0 and
+    confirms nothing.
     """
 
     number: int
@@ -171,6 +174,7 @@
     revision: int
     age: Seconds
     changes: tuple[ObjectChange, ...] | None = ()
+    era: StoreEra = StoreEra(0)
 
 
 class CoordinatorLeaving(Message, frozen=True, tag="leaving"):
--- a/src/amaranthferry/platform/store.py
+++ b/src/amaranthferry/platform/store.py
@@ -1,17 +1,20 @@
 """Call the platform's metadata store over HTTP."""
 
 import asyncio
-from typing import Any, TypeVar
+from collections.abc import Callable, Mapping
+from typing import Any, NamedTuple, TypeVar
 from urllib.parse import quote
 
 import msgspec
 
 from ..exceptions import AnswerLost, StoreUnavailable, VersionConflict
 from ..http_connection import BrokenAnswer, HttpConnection
-from ..types import Seconds
+from ..types import Seconds, StoreEra
 
+ERA_HEADER = "store-era"
 CONNECT_TIMEOUT: Seconds = 0.5
 CALL_TIMEOUT: Seconds = 2.0
+MAX_ERA_DIGITS = 18
 _PAGE_LIMIT = 10_000
 
 _Body = TypeVar("_Body")
@@ -21,6 +24,17 @@
     """Report that the store no longer keeps the changes since a revision."""
 
 
+class EraRefused(StoreUnavailable):  # noqa: N818
+    """Report an answer whose era is unreadable or older than one already seen."""
+
+
+class Position(NamedTuple):
+    """Identify a state of the store; revisions are given out again in a new era."""
+
+    era: StoreEra
+    revision: int
+
+
 class Metadata(msgspec.Struct, rename="camel"):
     """Describe an object's metadata, maintained by the store."""
 
@@ -54,6 +68,12 @@
 
     entries: list[StoredObject]
     revision: int
+    era: StoreEra = StoreEra(0)
+
+    @property
+    def position(self) -> Position:
+        """Return the state of the store that the list shows."""
+        return Position(self.era, self.revision)
 
 
 class Change(msgspec.Struct):
@@ -68,6 +88,12 @@
 
     events: list[Change]
     at: int
+    era: StoreEra = StoreEra(0)
+
+    @property
+    def position(self) -> Position:
+        """Return the state of the store that the changes lead to."""
+        return Position(self.era, self.at)
 
 
 class _Page(msgspec.Struct, rename="camel"):
@@ -76,13 +102,21 @@
     has_more: bool = False
 
 
+class _Answer(NamedTuple):
+    body: bytes
+    era: StoreEra
+
+
 class StoreClient:
     """Call the store; concurrent calls use separate connections.
 
     Calls raise StoreUnavailable if nothing was changed, AnswerLost if it may have been.
+    `on_era` is called with the old and the new era when the store has been restored.
     """
 
     def __init__(self, address: str, *, max_idle: int = 4) -> None:
+        self.on_era: Callable[[StoreEra, StoreEra], None] = lambda old, new: None
+        self.era: StoreEra | None = None
         self._address = address
         self._idle: list[HttpConnection] = []
         self._max_idle = max_idle
@@ -97,15 +131,20 @@
     async def list(self, kind: str) -> Listing:
         """Read all objects of a kind, page by page."""
         entries: list[StoredObject] = []
-        after, revision = "", 0
+        after, first = "", None
         for _ in range(_PAGE_LIMIT):
             query = f"?sinceRevision={quote(after, safe='')}" if after else ""
-            body = await self._call("GET", f"/objects/{kind}{query}")
-            page = _decode(body, _Page)
+            answer = await self._call("GET", f"/objects/{kind}{query}")
+            page = _decode(answer.body, _Page)
             entries += page.entries
-            revision = revision or page.at
+            first = first or Position(answer.era, page.at)
+            if answer.era != first.era:
+                raise StoreUnavailable(
+                    f"The store was restored while {kind} were listed.",
+                    remedy="List the objects again.",
+                )
             if not page.has_more or not page.entries:
-                return Listing(entries, revision)
+                return Listing(entries, first.revision, first.era)
             after = page.entries[-1].metadata.name
         raise _unreadable_error(
             f"The list of {kind} has more than {_PAGE_LIMIT} pages."
@@ -114,21 +153,24 @@
     async def get(self, kind: str, name: str) -> StoredObject | None:
         """Return one object, or None if it does not exist."""
         try:
-            return _decode(await self._call("GET", _path(kind, name)), StoredObject)
+            answer = await self._call("GET", _path(kind, name))
         except _NotFound:
             return None
+        return _decode(answer.body, StoredObject)
 
     async def watch(self, kind: str, revision: int, *, wait: Seconds) -> Changes:
         """Wait for changes after a revision; raise HistoryGone if it is too old."""
         query = f"?watch={revision}&waitMs={int(wait * 1_000)}"
         path = f"/objects/{kind}{query}"
-        return _decode(await self._call("GET", path, wait=wait), Changes)
+        answer = await self._call("GET", path, wait=wait)
+        changes = _decode(answer.body, Changes)
+        return Changes(changes.events, changes.at, answer.era)
 
     async def create(self, kind: str, name: str, spec: Any) -> StoredObject:
         """Create an object; raise VersionConflict when it exists."""
         body = {"metadata": {"name": name}, "spec": spec}
         answer = await self._call("POST", f"/objects/{kind}", msgspec.json.encode(body))
-        return _decode(answer, StoredObject)
+        return _decode(answer.body, StoredObject)
 
     async def delete(self, kind: str, name: str) -> None:
         """Delete an object if it exists."""
@@ -139,7 +181,7 @@
 
     async def _call(
         self, method: str, path: str, body: bytes = b"", *, wait: Seconds = 0.0
-    ) -> bytes:
+    ) -> _Answer:
         self.calls += 1
         conn = await self._connection()
         sent = False
@@ -159,7 +201,23 @@
             conn.abort()
             raise
         self._release(conn)
-        return _check_status(start.status, answer)
+        era = self._check_era(start.fields(), method)
+        return _Answer(_check_status(start.status, answer), era)
+
+    def _check_era(self, fields: Mapping[str, str], method: str) -> StoreEra:
+        """Return the era of an answer; one without the header is of the known era."""
+        text = fields.get(ERA_HEADER)
+        known = self.era
+        era = StoreEra(known or 0) if text is None else _parse_era(text)
+        if era is None or era < (known or 0):
+            problem = f"The store's answer is of era {text!r}, not {known} or later."
+            if method != "GET":
+                raise AnswerLost(problem, remedy="Read the object back.")
+            raise EraRefused(problem, remedy="Try again after a pause.")
+        self.era = era
+        if known is not None and era != known:
+            self.on_era(known, era)
+        return era
 
     async def _connection(self) -> HttpConnection:
         while self._idle:
@@ -190,6 +248,11 @@
     return f"/objects/{kind}/{quote(name, safe='')}"
 
 
+def _parse_era(text: str) -> StoreEra | None:
+    readable = text.isascii() and text.isdigit() and len(text) <= MAX_ERA_DIGITS
+    return StoreEra(int(text)) if readable else None
+
+
 def _check_status(status: int, body: bytes) -> bytes:
     if status < 300:
         return body
--- a/src/amaranthferry/standins/metadata.py
+++ b/src/amaranthferry/standins/metadata.py
@@ -1,6 +1,7 @@
 """Stand in for the platform's metadata store and its known faults."""
 
 import asyncio
+import time
 from enum import StrEnum
 from typing import Any
 
@@ -16,6 +17,7 @@
 MAX_WAIT: Seconds = 30.0
 PAGE_SIZE = 500
 HANG_DURATION: Seconds = 3_600.0
+ERA_HEADER = "Store-Era"
 
 
 class StoreFault(StrEnum):
@@ -50,6 +52,7 @@
     revision: int
     item: _Object
     deleted: bool
+    made_at: Seconds = 0.0
 
 
 class MetadataStore:
@@ -59,9 +62,11 @@
         self.fault = StoreFault.NONE
         self.delay: Seconds = 0.0
         self.calls: list[tuple[str, str]] = []
+        self.era = 1
         self._revision = 1
         self._kinds: dict[str, dict[str, _Object]] = {}
         self._history: list[_Change] = []
+        self._all_changes: list[_Change] = []
         self._compacted_revision = 0
         self._changed = asyncio.Condition()
         self.app = Starlette(
@@ -94,12 +99,36 @@
         self._compacted_revision = self._revision
         self._history.clear()
 
+    async def restore(self, *, age: Seconds) -> None:
+        """Return to a copy of the given age; later changes are lost.
+
+        Revisions after the copy are given out again, and the era rises by one.
+        """
+        copied_at = time.monotonic() - age
+        kept = [c for c in self._all_changes if c.made_at <= copied_at]
+        self._kinds.clear()
+        for change in kept:
+            objects = self._kinds.setdefault(change.kind, {})
+            if change.deleted:
+                objects.pop(change.item.name, None)
+            else:
+                objects[change.item.name] = change.item
+        self._all_changes = kept
+        self._revision = kept[-1].revision if kept else 1
+        self._history = [c for c in self._history if c.revision <= self._revision]
+        self._compacted_revision = min(self._compacted_revision, self._revision)
+        self.era += 1
+        async with self._changed:
+            self._changed.notify_all()
+
     def objects(self, kind: str) -> dict[str, Any]:
         """Return the specs of a kind by name."""
         return {name: item.spec for name, item in self._kinds.get(kind, {}).items()}
 
     async def _record(self, change: _Change) -> None:
+        change.made_at = time.monotonic()
         self._history.append(change)
+        self._all_changes.append(change)
         async with self._changed:
             self._changed.notify_all()
 
@@ -129,14 +158,17 @@
             operation.close()
             return await self._fail(request)
         status, body = await operation
-        return JSONResponse(body, status_code=status)
+        return self._json(body, status)
+
+    def _json(self, body: Any, status: int) -> Response:
+        return JSONResponse(body, status, headers={ERA_HEADER: str(self.era)})
 
     async def _fail(self, request: Request) -> Response:
         if self.fault is StoreFault.SILENT:
             await asyncio.sleep(HANG_DURATION)
         if self.fault is StoreFault.RESET:
             drop_connection(request)
-        return JSONResponse({"error": "unavailable"}, status_code=503)
+        return self._json({"error": "unavailable"}, 503)
 
     async def _list(self, kind: str, request: Request) -> tuple[int, Any]:
         after = request.query_params.get("sinceRevision", "")
@@ -168,15 +200,18 @@
     async def _watch(self, kind: str, request: Request) -> tuple[int, Any]:
         since = int(request.query_params["watch"])
         wait = min(MAX_WAIT, int(request.query_params.get("waitMs", "0")) / 1_000)
+        era = self.era
         try:
             async with asyncio.timeout(wait), self._changed:
-                while since >= self._compacted_revision and not self._since(
-                    kind, since
+                while (
+                    era == self.era
+                    and self._keeps(since)
+                    and not self._since(kind, since)
                 ):
                     await self._changed.wait()
         except TimeoutError:
             pass
-        if since < self._compacted_revision:
+        if era != self.era or not self._keeps(since):
             return 410, {"error": "gone"}
         events = [
             {"object": change.item.to_dict(), "deleted": change.deleted}
@@ -184,5 +219,9 @@
         ]
         return 200, {"events": events, "at": self._revision}
 
+    def _keeps(self, revision: int) -> bool:
+        """Return whether the changes after a revision are known here."""
+        return self._compacted_revision <= revision <= self._revision
+
     def _since(self, kind: str, revision: int) -> list[_Change]:
         return [c for c in self._history if c.kind == kind and c.revision > revision]
--- a/src/amaranthferry/types.py
+++ b/src/amaranthferry/types.py
@@ -15,6 +15,7 @@
 ServiceId = NewType("ServiceId", str)
 RequestId = NewType("RequestId", str)
 SettingsVersion = NewType("SettingsVersion", int)
+StoreEra = NewType("StoreEra", int)
 Seconds = float
 Tokens = int
 
--- /dev/null
+++ b/tests/gateway/test_store_eras.py
@@ -0,0 +1,150 @@
+"""Play drills in which the store comes back from an older copy, with real hosts."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from amaranthferry.standins.metadata import StoreFault
+
+from .fleet import KEY, config, entry, fleet
+from .test_application import until
+
+NEW_KEY = "key-of-press"
+#: Bound within which each host has to know what the restored store lists.
+RETURN_BOUND = 2.0
+
+
+async def drill(system, *, age, away=0.3):
+    """Take the store away for a moment and bring it back from an older copy."""
+    system.store.fault = StoreFault.RESET
+    await asyncio.sleep(away)
+    await system.store.restore(age=age)
+    system.store.fault = StoreFault.NONE
+
+
+async def accepted(caller, host, key):
+    _, status, _, _ = await caller.send("GET", "/look/x", host=host, key=key)
+    return status == 200
+
+
+async def until_all(system, caller, expected):
+    """Wait until each host admits exactly the expected keys."""
+
+    async def matches():
+        for host in range(len(system.hosts)):
+            for key, admitted in expected.items():
+                if await accepted(caller, host, key) != admitted:
+                    return False
+        return True
+
+    async with asyncio.timeout(RETURN_BOUND):
+        while not await matches():
+            await asyncio.sleep(0.05)
+
+
+async def lose_changes(system, *, count=20):
+    """Raise the revisions beyond what the operator writes after the drill."""
+    for number in range(count):
+        await system.store.put("other", f"o-{number}", number)
+    await asyncio.sleep(1.0)
+
+
+@contextlib.asynccontextmanager
+async def settled_fleet(hosts=3):
+    async with fleet(hosts=hosts) as (system, caller):
+        await until(lambda: all(len(h.state.hosts) == hosts for h in system.hosts))
+        await asyncio.sleep(0.6)
+        yield system, caller
+
+
+async def test_changes_after_a_drill_are_applied():
+    async with settled_fleet() as (system, caller):
+        await lose_changes(system)
+        await drill(system, age=1.4)
+        await system.store.put("config", "main", config(2, keys=[NEW_KEY]))
+        await until_all(system, caller, {KEY: False, NEW_KEY: True})
+
+
+async def test_key_revoked_before_a_drill_stays_revoked():
+    async with settled_fleet() as (system, caller):
+        await system.store.put("config", "main", config(2, keys=[NEW_KEY]))
+        await until_all(system, caller, {KEY: False, NEW_KEY: True})
+        await drill(system, age=60)
+        await asyncio.sleep(0.5)
+        for host in range(3):
+            assert not await accepted(caller, host, KEY)
+        await system.store.put("config", "main", config(2, keys=[NEW_KEY]))
+        await until_all(system, caller, {KEY: False, NEW_KEY: True})
+
+
+async def test_several_drills_in_a_row():
+    async with settled_fleet() as (system, caller):
+        for _ in range(3):
+            await lose_changes(system)
+            await drill(system, age=1.2, away=0.1)
+        keys = [NEW_KEY]
+        await system.store.put("config", "main", config(5, keys=keys))
+        await until_all(system, caller, {KEY: False, NEW_KEY: True})
+
+
+async def test_server_at_the_address_of_a_gone_one_is_used():
+    async with settled_fleet() as (system, caller):
+        await lose_changes(system)
+        await drill(system, age=1.4)
+        for name in ("ledger-0", "ledger-1"):
+            await system.store.remove("servers", name)
+        address = system.addresses["ledger-0"]
+        system.servers["ledger-0"].name = "ledger-9"
+        await system.store.put("servers", "ledger-9", entry("ledger", address, born=9))
+        await until_all(system, caller, {KEY: True})
+        await asyncio.sleep(RETURN_BOUND + 1.0)
+        for host in range(3):
+            _, status, _, body = await caller.send("GET", "/look/x", host=host)
+            assert (status, body) == (200, b"ledger-9")
+
+
+async def test_what_the_hosts_wrote_is_written_again():
+    async with settled_fleet() as (system, caller):
+        written = system.store.objects("entryhosts")
+        key = system.store.objects("peerkeys")
+        assert len(written) == 3
+        await drill(system, age=60)
+        await until(
+            lambda: (
+                system.store.objects("entryhosts") == written
+                and system.store.objects("peerkeys") == key
+            ),
+            seconds=RETURN_BOUND,
+        )
+
+
+async def test_host_that_starts_after_a_drill_joins_the_others():
+    async with settled_fleet() as (system, caller):
+        await drill(system, age=60)
+        await system.store.put("config", "main", config(1))
+        await system.add_host("host-3")
+        await until(lambda: all(len(h.state.hosts) == 4 for h in system.hosts))
+
+
+async def test_two_keys_of_one_fleet_become_one():
+    async with settled_fleet() as (system, caller):
+        await drill(system, age=60, away=0.0)
+        await system.store.put("peerkeys", "main", {"key": "ab" * 32})
+        await until(lambda: all(len(h.state.hosts) == 3 for h in system.hosts))
+        await system.store.put("config", "main", config(1))
+        await system.add_host("host-3")
+        await until(lambda: all(len(h.state.hosts) == 4 for h in system.hosts))
+
+
+@pytest.mark.parametrize("hosts", [3])
+async def test_a_drill_costs_few_calls(hosts):
+    async with settled_fleet(hosts) as (system, caller):
+        await lose_changes(system)
+        await drill(system, age=1.4)
+        before = len(system.store.calls)
+        await asyncio.sleep(RETURN_BOUND)
+        calls = len(system.store.calls) - before
+        # Each host lists two kinds and the hosts, checks the key and writes its entry;
+        # two readers watch two kinds.
+        assert calls < hosts * 8 + 4 * RETURN_BOUND / 0.4
--- a/tests/gateway/test_store_sync.py
+++ b/tests/gateway/test_store_sync.py
@@ -1,13 +1,16 @@
 import asyncio
 
+import pytest
+
 from amaranthferry.exceptions import StoreUnavailable
 from amaranthferry.gateway.freshness import Freshness, boot_time
 from amaranthferry.gateway.store_sync import StoreSync, choose_readers
 from amaranthferry.gateway.watching import KindReader, SyncState
-from amaranthferry.messages import ObjectChange
+from amaranthferry.messages import ObjectChange, StoreUpdate
 from amaranthferry.platform.store import (
     Change,
     Changes,
+    HistoryGone,
     Listing,
     Metadata,
     StoredObject,
@@ -58,6 +61,9 @@
     def replace(self, objects):
         self.objects = {item.name: item.spec for item in objects}
 
+    def restore(self, objects):
+        self.replace(objects)
+
     def apply(self, changes):
         self.objects.update({change.name: change.spec for change in changes})
 
@@ -198,3 +204,113 @@
     state.advance([ObjectChange("a", 6, False, 0)], 6)
     assert state.changes_since(5) == (ObjectChange("a", 7, False, 1),)
     assert state.changes_since(4) is None
+
+
+def listing(revision, era=0, *names):
+    return Listing(
+        [StoredObject(Metadata(name, revision), {}) for name in names], revision, era
+    )
+
+
+def test_list_of_a_newer_era_replaces_a_higher_revision():
+    cache = FakeCache()
+    state = SyncState(KIND, cache, Freshness(5.0))
+    state.apply_list(listing(100, 1, "a"), 0.0)
+    state.apply_list(listing(85, 2, "b"), 1.0)
+    assert (state.position, set(cache.objects)) == ((2, 85), {"b"})
+    assert state.changes_since(85) == ()
+    assert state.changes_since(84) is None
+
+
+def test_answers_of_an_older_era_change_and_confirm_nothing():
+    cache = FakeCache()
+    state = SyncState(KIND, cache, Freshness(5.0))
+    state.apply_list(listing(85, 2, "b"), 1.0)
+    state.apply_list(listing(100, 1, "a"), 5.0)
+    state.apply_changes(Changes([], 100, 1), 5.0)
+    assert (state.position, set(cache.objects)) == ((2, 85), {"b"})
+    assert state.freshness.age(5.0) == 4.0
+
+
+class ScriptedStore:
+    """Answer each call by functions of the call's number."""
+
+    def __init__(self, *, watch, listing):
+        self._watch, self._listing = watch, listing
+        self.calls = 0
+
+    async def list(self, kind):
+        self.calls += 1
+        return self._listing(self.calls)
+
+    async def watch(self, kind, revision, *, wait):
+        self.calls += 1
+        return self._watch(self.calls)
+
+
+def history_gone(call):
+    raise HistoryGone("Gone.", remedy="List.")
+
+
+async def test_list_that_went_back_without_a_new_era_confirms_nothing():
+    store = ScriptedStore(watch=history_gone, listing=lambda call: listing(85, 1))
+    state = SyncState(KIND, FakeCache(), Freshness(5.0))
+    state.apply_list(listing(100, 1, "a"), boot_time())
+    await asyncio.sleep(0.05)
+    assert not await KindReader(store, state).read()
+    assert state.position == (1, 100)
+    assert state.freshness.age(boot_time()) >= 0.05
+
+
+async def test_changes_of_a_newer_era_are_not_applied_to_the_older():
+    cache = FakeCache()
+    store = ScriptedStore(
+        watch=lambda call: Changes([], 120, 2),
+        listing=lambda call: listing(120, 2, "b"),
+    )
+    state = SyncState(KIND, cache, Freshness(5.0))
+    state.apply_list(listing(100, 1, "a"), boot_time())
+    assert await KindReader(store, state).read()
+    assert (state.position, set(cache.objects)) == ((2, 120), {"b"})
+
+
+@pytest.mark.parametrize(
+    "watch",
+    [
+        history_gone,
+        lambda call: Changes([], 100, 1),
+        lambda call: Changes([], 100 + call, 1),
+        lambda call: Changes([], 10, call),
+    ],
+    ids=["always-410", "empty", "empty-and-moving", "a-new-era-each-time"],
+)
+async def test_no_answer_makes_a_reader_call_without_a_pause(watch):
+    store = ScriptedStore(
+        watch=watch, listing=lambda call: listing(100 + call, call if call > 1 else 1)
+    )
+    state = SyncState(KIND, FakeCache(), Freshness(5.0))
+    reader = KindReader(store, state)
+    sync = StoreSync("host-0", state, reader, lambda host, message: True, wait=0.8)
+    sync.set_hosts(["host-0"])
+    running = asyncio.ensure_future(sync.run())
+    await asyncio.sleep(1.0)
+    running.cancel()
+    # A pause of 0.05 s or more follows each read, which takes up to two calls.
+    assert store.calls <= 2 * (1 + 1.0 / 0.05)
+
+
+async def test_update_of_another_era_is_not_applied_and_makes_the_host_read():
+    network = FakeNetwork(hosts(3))
+    running = asyncio.ensure_future(network.run(1.0))
+    await asyncio.sleep(0.2)
+    name = non_readers(network.hosts)[0]
+    sync, state = network.syncs[name], network.states[name]
+    change = ObjectChange("b", 90, False, {})
+    before = network.stores[name].calls
+    sync.receive("peer", StoreUpdate(0, KIND, 0, 90, 0.0, (change,), 0))
+    assert "b" in network.caches[name].objects
+    sync.receive("peer", StoreUpdate(0, KIND, 0, 95, 0.0, (change,), 1))
+    assert state.era == 0
+    await asyncio.sleep(0.7)
+    assert network.stores[name].calls > before
+    await running
--- a/tests/test_wire_format.py
+++ b/tests/test_wire_format.py
@@ -58,8 +58,11 @@
     ),
     (PEER_MESSAGES, "94a6616476657274a27331a2733291cb400c000000000000"),
     (PEER_MESSAGES, "92a76c656176696e67a27331"),
-    (PEER_MESSAGES, "94a86e6577735f61736b01a2733203"),
-    (PEER_MESSAGES, "97a46e65777301a273320304cb40160000000000009194a2733607c381a16b01"),
+    (PEER_MESSAGES, "95a86e6577735f61736b01a273320306"),
+    (
+        PEER_MESSAGES,
+        "98a46e65777301a273320304cb40160000000000009194a2733607c381a16b0106",
+    ),
     (PEER_MESSAGES, "94a6736572766572a27331a46c6f7374a56f72646572"),
     (PEER_MESSAGES, "93ac73657474696e67735f61736b0102"),
     (PEER_MESSAGES, "93ad73657474696e67735f74656c6c0102"),
@@ -104,6 +107,12 @@
     (root.ChunkRef, "92c402623102"),
 ]
 
+#: Messages of the release before `era` was added to them, without that field.
+EXTENDED = [
+    "94a86e6577735f61736b01a2733203",
+    "97a46e65777301a273320304cb40160000000000009194a2733607c381a16b01",
+]
+
 #: Fields that are encoded by name, in order.
 FIELDS = {
     root.AuditEntry: "version previous who when nonce changes omitted details",
@@ -141,6 +150,17 @@
     assert msgspec.msgpack.encode(message) == data
 
 
+@pytest.mark.parametrize("encoded", EXTENDED)
+def test_messages_from_before_an_added_field_are_decoded(encoded):
+    data = bytes.fromhex(encoded)
+    message = msgspec.msgpack.decode(data, type=PEER_MESSAGES)
+    assert message.era == 0
+    # An earlier release ignores the added last item and reads the rest alike.
+    items = msgspec.msgpack.decode(msgspec.msgpack.encode(message))
+    assert msgspec.msgpack.encode(items[:-1]) == data
+    assert items[-1] == 0
+
+
 def test_every_message_is_compared():
     tags = {
         type(msgspec.msgpack.decode(bytes.fromhex(encoded), type=kind))
