--- /dev/null
+++ b/src/amaranthferry/gateway/broadcast.py
@@ -0,0 +1,62 @@
+"""Distribute an update to all hosts over a tree, with its changes compressed.
+
+Hosts have slow links: a reader that sent a configuration of 8 KB to 194 hosts itself
+would occupy a link of 10 Mbit/s for longer than its peers wait for its replies.
+"""
+
+import zlib
+from collections.abc import Sequence
+
+import msgspec
+
+from ..messages import ObjectChange, StoreUpdate
+from ..types import HostId
+
+#: Hosts that each host forwards an update to.
+FAN_OUT = 4
+#: Size above which changes are compressed.
+MIN_PACKED_BYTES = 1_024
+#: Limit of the decompressed changes of one update.
+MAX_UNPACKED_BYTES = 4 * 1024 * 1024
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(tuple[ObjectChange, ...])
+
+
+def children(host: HostId, origin: HostId, hosts: Sequence[HostId]) -> list[HostId]:
+    """Return the hosts that a host forwards an origin's update to.
+
+    The tree is the same on all hosts that know the same live hosts. Hosts with similar
+    names, which are mostly of one zone, stand near each other in it.
+    """
+    ordered = sorted({*hosts, host, origin})
+    root = ordered.index(origin)
+    ordered = ordered[root:] + ordered[:root]
+    first = FAN_OUT * ordered.index(host) + 1
+    return ordered[first : first + FAN_OUT]
+
+
+def pack(update: StoreUpdate, *, limit: int) -> StoreUpdate:
+    """Return an update with large changes compressed, or without any over the limit."""
+    if not update.changes:
+        return update
+    data = _encoder.encode(update.changes)
+    if len(data) <= min(MIN_PACKED_BYTES, limit):
+        return update
+    packed = zlib.compress(data, 1) if len(data) <= MAX_UNPACKED_BYTES else b""
+    if not packed or len(packed) > limit:
+        return msgspec.structs.replace(update, changes=None)
+    return msgspec.structs.replace(update, changes=None, packed=packed)
+
+
+def unpack(update: StoreUpdate) -> tuple[ObjectChange, ...] | None:
+    """Return the changes of an update, or None if it has none that can be read."""
+    if not update.packed:
+        return update.changes
+    inflater = zlib.decompressobj()
+    try:
+        data = inflater.decompress(update.packed, MAX_UNPACKED_BYTES)
+        if not inflater.eof:
+            return None
+        return _decoder.decode(data)
+    except (zlib.error, msgspec.DecodeError):
+        return None
--- a/src/amaranthferry/gateway/log_events.py
+++ b/src/amaranthferry/gateway/log_events.py
@@ -38,7 +38,7 @@
     FRESHNESS_CHANGED = "freshness.changed"  # current, age
     READERS_CHANGED = "readers.changed"  # kind, readers
     READER_SILENT = "reader.silent"  # kind, reader
-    NEWS_NOT_SENDABLE = "news.not_sendable"  # kind, problem
+    READER_STOOD_IN = "reader.stood_in"  # kind, readers
     PEERS_CHANGED = "peers.changed"  # hosts, draining
     PEER_LOST = "peer.lost"  # peer
     COORDINATORS_CHANGED = "coordinators.changed"  # coordinators, fallbacks
--- a/src/amaranthferry/gateway/store_sync.py
+++ b/src/amaranthferry/gateway/store_sync.py
@@ -2,24 +2,29 @@
 
 Calls to the store are counted while messages between hosts cost little. A host that
 is not a reader requests an update from one about once a second. It dates the reply to
-the read behind it: the age in the reply plus the time since the request was sent. It
-reads the store itself when no reader replies in time or the reader's state is too old.
+the read behind it: the age in the reply plus the time since the request was sent. When
+no reader has current state, the hosts take turns at reading the store themselves, and
+the one that succeeds stands in for the readers.
 """
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable, Iterable
+from enum import Enum
 
 import structlog
 import xxhash
+from msgspec.structs import replace
 
 from ..codec import encode
-from ..exceptions import FrameError
 from ..messages import Message, StoreUpdate, StoreUpdateRequest
 from ..platform.store import Position
-from ..types import HostId, Seconds
+from ..types import HostId, Seconds, StoreEra
+from .broadcast import children, pack, unpack
 from .freshness import boot_time
 from .log_events import LogEvent
+from .read_pace import ReadPace
 from .watching import KindReader, SyncState
 
 READER_COUNT = 2
@@ -27,18 +32,39 @@
 ANSWER_TIMEOUT: Seconds = 0.25
 #: Age above which a reader's reply is rejected in favour of reading the store.
 MAX_UPDATE_AGE: Seconds = 2.0
-#: Larger changes are cheaper to read from the store than to send to every host.
-MAX_UPDATE_BYTES = 8_192
+#: Limits of the compressed changes in a reply and in an update that is broadcast; a
+#: host reads larger ones from the store.
+MAX_REPLY_BYTES = 8 * 1024
+MAX_BROADCAST_BYTES = 64 * 1024
+#: Size of a broadcast, to all hosts together, up to which its origin sends all of it.
+MAX_DIRECT_BYTES = 64 * 1024
+#: Time that a broadcast may take to reach a host that is told it is behind.
+BROADCAST_TIME: Seconds = 0.4
+NOWHERE = Position(StoreEra(0), -1)
 #: Bounds of the pause after a read that ends before its wait is over or fails.
 MIN_READ_PAUSE: Seconds = 0.05
 MAX_READ_PAUSE: Seconds = 0.5
 #: Period over which the hosts spread their reads of a restored store.
 RESTORED_READ_SPREAD: Seconds = 0.5
+#: Time without an answer of the store, beyond the expected one, after which a reader
+#: requests updates from other hosts.
+READ_PATIENCE: Seconds = 0.4
+#: Time for which a host that could read the store stands in for the readers.
+STAND_IN_TIME: Seconds = 10.0
 _log = structlog.get_logger(__name__)
 
 Send = Callable[[HostId, Message], bool]
 
 
+class _Result(Enum):
+    """Classify the answer to a request for an update."""
+
+    CURRENT = "current"
+    BEHIND = "behind"
+    STALE = "stale"
+    SILENT = "silent"
+
+
 def choose_readers(hosts: Iterable[HostId]) -> tuple[HostId, ...]:
     """Return the hosts that read the store; the choice is the same on every host."""
     ranked = sorted(hosts, key=lambda host: (_score(host), host))
@@ -70,14 +96,19 @@
         self._others: tuple[HostId, ...] = ()
         self._pending: dict[int, asyncio.Future[StoreUpdate]] = {}
         self._last_number = 0
-        self._read_needed = asyncio.Event()
+        self._wake = asyncio.Event()
+        self._read_needed = False
         self._read_spread: Seconds = 0.0
+        self._pace = ReadPace()
+        self._stand_in_until: Seconds = 0.0
+        self._stand_ins: dict[HostId, Seconds] = {}
+        self._forwarded: dict[HostId, Position] = {}
         state.on_change = self._broadcast
 
     @property
     def is_reader(self) -> bool:
         """Return whether this host reads the store for the others."""
-        return self._host in self._readers
+        return self._host in self._readers or boot_time() < self._stand_in_until
 
     def set_hosts(self, hosts: Iterable[HostId]) -> None:
         """Choose the readers from the live hosts."""
@@ -94,7 +125,7 @@
         while True:
             if self.is_reader or self._state.position is None:
                 began, before = boot_time(), self._state.position
-                succeeded = await self._reader.read(self._wait)
+                succeeded = await self._read_patiently()
                 early = boot_time() - began < self._wait / 2
                 fruitful = succeeded and (not early or self._state.position != before)
             else:
@@ -103,23 +134,96 @@
             if early or not fruitful:
                 await asyncio.sleep(_read_pause(fruitless))
 
+    async def _read_patiently(self) -> bool:
+        """Read the store; while no answer comes, request updates from other hosts."""
+        read = asyncio.ensure_future(self._reader.read(self._wait))
+        patience = self._wait + READ_PATIENCE
+        try:
+            while not read.done():
+                await asyncio.wait({read}, timeout=patience)
+                if not read.done() or not read.result():
+                    await self._request_from_sources()
+                patience = READ_PATIENCE
+            return read.result()
+        finally:
+            read.cancel()
+
+    async def _request_from_sources(self) -> _Result:
+        """Request an update from each source, until one has current state."""
+        results = {_Result.SILENT}
+        for source in self._sources():
+            result = await self._request_update(source)
+            if result in (_Result.CURRENT, _Result.BEHIND):
+                return result
+            results.add(result)
+        return _Result.STALE if _Result.STALE in results else _Result.SILENT
+
     async def _sync_from_readers(self) -> bool:
-        """Request an update from each reader in turn; fall back to the store."""
-        for reader in self._readers:
-            if await self._request_update(reader):
-                self._read_needed.clear()
-                try:
-                    async with asyncio.timeout(REQUEST_PERIOD):
-                        await self._read_needed.wait()
-                except TimeoutError:
-                    return True
-                if self._read_spread:
-                    await asyncio.sleep(random.uniform(0.0, self._read_spread))
-                    self._read_spread = 0.0
-                return await self._reader.read()
-        return await self._reader.read(self._wait)
-
-    async def _request_update(self, reader: HostId) -> bool:
+        """Request an update from each source in turn; fall back to the store."""
+        result = await self._request_from_sources()
+        if result is _Result.CURRENT:
+            self._pace.reset()
+            return await self._wait_for_broadcast(REQUEST_PERIOD)
+        if result is _Result.BEHIND:
+            return await self._catch_up()
+        isolated = result is _Result.SILENT and not await self._is_reached()
+        return await self._read_at_pace(isolated=isolated)
+
+    def _sources(self) -> list[HostId]:
+        """Return the hosts that read the store, the latest stand-ins first."""
+        now = boot_time()
+        stand_ins = [host for host, until in self._stand_ins.items() if until > now]
+        sources = dict.fromkeys([*reversed(stand_ins), *self._readers])
+        return [host for host in sources if host != self._host]
+
+    async def _is_reached(self) -> bool:
+        """Return whether any other host answers; if not, this host is cut off."""
+        sources = self._sources()
+        others = [host for host in self._others if host not in sources]
+        if not others:
+            return False
+        return await self._request_update(random.choice(others)) is not _Result.SILENT
+
+    async def _wait_for_broadcast(self, limit: Seconds) -> bool:
+        """Wait for the time of the next request; read the store if one is needed."""
+        self._wake.clear()
+        if not self._read_needed:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(limit):
+                    await self._wake.wait()
+        if not self._read_needed:
+            return True
+        self._read_needed = False
+        if self._read_spread:
+            await asyncio.sleep(random.uniform(0.0, self._read_spread))
+            self._read_spread = 0.0
+        return await self._reader.read()
+
+    async def _catch_up(self) -> bool:
+        """Read the store unless a broadcast brings what a reader knows already."""
+        before = self._state.position
+        await asyncio.sleep(BROADCAST_TIME)
+        if self._state.position != before:
+            return True
+        return await self._reader.read()
+
+    async def _read_at_pace(self, *, isolated: bool) -> bool:
+        """Read the store in this host's turn, and stand in for the readers."""
+        hosts = 1 if isolated else len(self._others) + 1
+        left = self._pace.time_left(boot_time(), hosts=hosts)
+        if left:
+            return await self._wait_for_broadcast(min(left, REQUEST_PERIOD))
+        self._pace.record_read(boot_time(), hosts=hosts)
+        succeeded = await self._reader.read()
+        if succeeded and not isolated:
+            self._stand_in_until = boot_time() + STAND_IN_TIME
+            _log.info(
+                LogEvent.READER_STOOD_IN, kind=self._state.kind, readers=self._readers
+            )
+            self._broadcast(self._state.revision or 0)
+        return succeeded
+
+    async def _request_update(self, source: HostId) -> "_Result":
         self._last_number += 1
         number, sent = self._last_number, boot_time()
         revision, era = self._state.revision or 0, self._state.era
@@ -127,28 +231,31 @@
         self._pending[number] = fut
         try:
             request = StoreUpdateRequest(number, self._state.kind, revision, era)
-            if not self._send(reader, request):
-                return False
+            if not self._send(source, request):
+                return _Result.SILENT
             async with asyncio.timeout(ANSWER_TIMEOUT):
                 update = await fut
         except TimeoutError:
-            _log.info(LogEvent.READER_SILENT, kind=self._state.kind, reader=reader)
-            return False
+            _log.info(LogEvent.READER_SILENT, kind=self._state.kind, reader=source)
+            return _Result.SILENT
         finally:
             del self._pending[number]
-        if update.age > MAX_UPDATE_AGE or not self._apply(update):
-            return False
+        if update.era < self._state.era:
+            return _Result.STALE
+        if not self._apply(update):
+            return _Result.BEHIND if update.age <= MAX_UPDATE_AGE else _Result.STALE
         self._state.freshness.confirm(sent - update.age)
-        return True
+        return _Result.CURRENT if update.age <= MAX_UPDATE_AGE else _Result.STALE
 
     def _apply(self, update: StoreUpdate) -> bool:
         """Apply an update; return whether it continues from the known position."""
         known = self._state.position
-        if update.changes is None or known is None or update.era != known.era:
+        if known is None or update.era != known.era or update.since > known.revision:
             return False
-        if update.since > known.revision:
+        changes = unpack(update)
+        if changes is None:
             return False
-        self._state.advance(list(update.changes), update.revision)
+        self._state.advance(list(changes), update.revision)
         return True
 
     def receive(
@@ -162,18 +269,30 @@
         if fut is not None and not fut.done():
             fut.set_result(message)
         elif not message.number:
-            self._receive_broadcast(message)
+            self._receive_broadcast(sender, message)
 
-    def _receive_broadcast(self, update: StoreUpdate) -> None:
+    def _receive_broadcast(self, sender: HostId, update: StoreUpdate) -> None:
         """Apply an unsolicited update, or read the store if it doesn't continue."""
+        source = update.origin or sender
+        if source not in self._readers:
+            if self._stand_ins.pop(source, 0.0) < boot_time():
+                self._wake.set()
+            self._stand_ins[source] = boot_time() + STAND_IN_TIME
+        found = Position(update.era, update.revision)
+        if update.origin and found > self._forwarded.get(source, NOWHERE):
+            self._forwarded[source] = found
+            self._forward(update, source)
         known = self._state.position
-        if known is not None and Position(update.era, update.revision) <= known:
-            return
-        if self._apply(update):
+        if (known is not None and found <= known) or self._apply(update):
             return
         if update.era > self._state.era:
             self._read_spread = RESTORED_READ_SPREAD
-        self._read_needed.set()
+        self._read_needed = True
+        self._wake.set()
+
+    def _forward(self, update: StoreUpdate, origin: HostId) -> None:
+        for host in children(self._host, origin, self._others):
+            self._send(host, update)
 
     def _reply(self, sender: HostId, request: StoreUpdateRequest) -> None:
         age = self._state.freshness.age(boot_time())
@@ -190,7 +309,7 @@
             changes,
             self._state.era,
         )
-        self._send(sender, self._limit_size(update))
+        self._send(sender, pack(update, limit=MAX_REPLY_BYTES))
 
     def _broadcast(self, since: int) -> None:
         """Send the changes since a revision to all other hosts."""
@@ -206,30 +325,12 @@
             changes,
             self._state.era,
         )
-        update = self._limit_size(update)
-        for host in self._others:
-            self._send(host, update)
-
-    def _limit_size(self, update: StoreUpdate) -> StoreUpdate:
-        """Return an update without its changes if they are too large to send."""
-        try:
-            small = len(encode(update)) <= MAX_UPDATE_BYTES
-        except FrameError as exc:
-            _log.warning(
-                LogEvent.NEWS_NOT_SENDABLE, kind=update.kind, problem=exc.message
-            )
-            small = False
-        if small:
-            return update
-        return StoreUpdate(
-            update.number,
-            update.kind,
-            update.since,
-            update.revision,
-            update.age,
-            changes=None,
-            era=update.era,
-        )
+        update = pack(update, limit=MAX_BROADCAST_BYTES)
+        if len(encode(update)) * len(self._others) <= MAX_DIRECT_BYTES:
+            for host in self._others:
+                self._send(host, update)
+        else:
+            self._forward(replace(update, origin=self._host), self._host)
 
 
 def _read_pause(fruitless: int) -> Seconds:
--- a/src/amaranthferry/messages.py
+++ b/src/amaranthferry/messages.py
@@ -165,7 +165,8 @@
     The changes lead from `since` to `revision`, both of one era; without them the
     receiver must read the store itself. A reply carries the number of its request and
     the age of the read that confirmed it; an unsolicited update has the number 0 and
-    confirms nothing.
+    confirms nothing. Large changes are compressed in `packed` instead; an update with
+    an origin is forwarded along that host's tree.
     """
 
     number: int
@@ -175,6 +176,8 @@
     age: Seconds
     changes: tuple[ObjectChange, ...] | None = ()
     era: StoreEra = StoreEra(0)
+    packed: bytes = b""
+    origin: HostId = HostId("")
 
 
 class CoordinatorLeaving(Message, frozen=True, tag="leaving"):
--- a/src/amaranthferry/platform/store.py
+++ b/src/amaranthferry/platform/store.py
@@ -14,6 +14,8 @@
 ERA_HEADER = "store-era"
 CONNECT_TIMEOUT: Seconds = 0.5
 CALL_TIMEOUT: Seconds = 2.0
+#: Time after the end of its wait in which a watch has to be answered.
+WATCH_TIMEOUT: Seconds = 1.0
 MAX_ERA_DIGITS = 18
 _PAGE_LIMIT = 10_000
 
@@ -191,7 +193,7 @@
                 headers.append(("content-type", "application/json"))
             conn.send(method, path, headers, body)
             sent = True
-            async with asyncio.timeout(CALL_TIMEOUT + wait):
+            async with asyncio.timeout(wait + WATCH_TIMEOUT if wait else CALL_TIMEOUT):
                 start = await conn.start()
                 answer = await conn.body()
         except (BrokenAnswer, TimeoutError, OSError) as exc:
