--- a/src/amaranthferry/gateway/application.py
+++ b/src/amaranthferry/gateway/application.py
@@ -98,6 +98,7 @@
             settings.host,
             self._peer_address,
             on_hosts=self._set_listed_hosts,
+            has_peers=self._has_found_members,
         )
         self._members: MembershipAgent | None = None
         self._listed_hosts: dict[HostId, str] = {}
@@ -183,6 +184,9 @@
         await self._members.start()
         self._members.set_candidates(tuple(self._listed_hosts.values()))
 
+    def _has_found_members(self) -> bool:
+        return self._members is not None and len(self._members.members) > 1
+
     async def _close_peers(self) -> None:
         if self._members is not None:
             await self._members.stop()
--- a/src/amaranthferry/gateway/presence.py
+++ b/src/amaranthferry/gateway/presence.py
@@ -24,7 +24,8 @@
 KEY_RETURN_TIME: Seconds = 2.0
 #: Period over which the hosts spread their checks of a restored store.
 RESTORED_CHECK_SPREAD: Seconds = 1.0
-#: Hosts that start together don't see each other's entries in the first list.
+#: Time after the first list in which membership finds the other hosts; a host that has
+#: found none lists them again, since hosts that start together may miss each other.
 SECOND_LIST_PAUSE: Seconds = 1.0
 REFRESH_PERIOD: Seconds = 60.0
 _log = structlog.get_logger(__name__)
@@ -50,11 +51,13 @@
         address: str,
         *,
         on_hosts: Callable[[dict[HostId, str]], None],
+        has_peers: Callable[[], bool],
     ) -> None:
         self._store = store
         self._host = host
         self._entry = HostEntry(address)
         self._on_hosts = on_hosts
+        self._has_peers = has_peers
         self._key = ""
         self._restored = asyncio.Event()
 
@@ -113,11 +116,17 @@
                 _log.info(LogEvent.HOSTS_NOT_READ, problem=exc.message)
                 await asyncio.sleep(random.uniform(RETRY_PAUSE, 2 * RETRY_PAUSE))
                 continue
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(pause):
-                    await self._restored.wait()
-                    await asyncio.sleep(random.uniform(0.0, RESTORED_CHECK_SPREAD))
-            pause = random.uniform(REFRESH_PERIOD, 2 * REFRESH_PERIOD)
+            await self._pause(pause)
+            if self._has_peers():
+                await self._pause(random.uniform(REFRESH_PERIOD, 2 * REFRESH_PERIOD))
+            pause = min(2 * pause, REFRESH_PERIOD)
+
+    async def _pause(self, pause: Seconds) -> None:
+        """Wait, but no longer than until the store has been restored."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(pause):
+                await self._restored.wait()
+                await asyncio.sleep(random.uniform(0.0, RESTORED_CHECK_SPREAD))
 
     async def _key_has_changed(self) -> bool:
         """Write the key again if the restored store has lost it; adopt another one."""
--- a/src/amaranthferry/gateway/store_sync.py
+++ b/src/amaranthferry/gateway/store_sync.py
@@ -41,9 +41,11 @@
 #: Time that a broadcast may take to reach a host that is told it is behind.
 BROADCAST_TIME: Seconds = 0.4
 NOWHERE = Position(StoreEra(0), -1)
-#: Bounds of the pause after a read that ends before its wait is over or fails.
+#: Bounds of the pause after a read that fails or brings nothing before its wait is over.
 MIN_READ_PAUSE: Seconds = 0.05
 MAX_READ_PAUSE: Seconds = 0.5
+#: Pause after a read that brings changes, so that one read brings those of a series.
+MAX_BATCH_PAUSE: Seconds = 0.2
 #: Period over which the hosts spread their reads of a restored store.
 RESTORED_READ_SPREAD: Seconds = 0.5
 #: Time without an answer of the store, beyond the expected one, after which a reader
@@ -131,8 +133,12 @@
             else:
                 fruitful, early = await self._sync_from_readers(), False
             fruitless = 0 if fruitful else fruitless + 1
-            if early or not fruitful:
+            if not fruitful:
                 await asyncio.sleep(_read_pause(fruitless))
+            elif early:
+                await asyncio.sleep(
+                    random.uniform(MAX_BATCH_PAUSE / 2, MAX_BATCH_PAUSE)
+                )
 
     async def _read_patiently(self) -> bool:
         """Read the store; while no answer comes, request updates from other hosts."""
@@ -335,5 +341,5 @@
 
 def _read_pause(fruitless: int) -> Seconds:
     """Return a random pause that grows with the number of fruitless reads in a row."""
-    longest = min(2 * MIN_READ_PAUSE * max(1, fruitless), MAX_READ_PAUSE)
+    longest = min(2 * MIN_READ_PAUSE * fruitless, MAX_READ_PAUSE)
     return random.uniform(longest / 2, longest)
