--- a/src/amaranthferry/gateway/caches.py
+++ b/src/amaranthferry/gateway/caches.py
@@ -8,7 +8,7 @@
 from ..exceptions import SettingsError
 from ..messages import ObjectChange
 from ..platform.desired import CONFIG_NAME, read_catalog, read_instance
-from ..types import Seconds, ServerId
+from ..types import Seconds, ServerId, SettingsVersion
 from .freshness import boot_time
 from .log_events import LogEvent
 from .roster import ServerRoster
@@ -28,6 +28,11 @@
         """Return the active configuration."""
         return None if self.route_table is None else self.route_table.catalog
 
+    @property
+    def version(self) -> SettingsVersion:
+        """Return the version of the active configuration, or 0 before the first."""
+        return SettingsVersion(0) if self.catalog is None else self.catalog.version
+
     def replace(self, objects: list[ObjectChange]) -> None:
         """Apply a listed configuration."""
         self.apply(objects)
@@ -82,6 +87,11 @@
         self.roster = ServerRoster(heartbeat)
         self._on_servers = on_servers
 
+    @property
+    def version(self) -> SettingsVersion:
+        """Return 0, since server entries have no common version."""
+        return SettingsVersion(0)
+
     def replace(self, objects: list[ObjectChange]) -> None:
         """Replace all entries, leaving out those that cannot be decoded."""
         self._notify(self.roster.replace(_decode_instances(objects), boot_time()))
--- a/src/amaranthferry/gateway/freshness.py
+++ b/src/amaranthferry/gateway/freshness.py
@@ -26,6 +26,10 @@
         """Record that a read sent at a time has confirmed the state."""
         self._confirmed = max(sent, self._confirmed or sent)
 
+    def reset(self) -> None:
+        """Record that the state is known to be outdated."""
+        self._confirmed = None
+
     def age(self, now: Seconds) -> Seconds | None:
         """Return the age of the state, or None before the first confirmation."""
         return None if self._confirmed is None else now - self._confirmed
--- a/src/amaranthferry/gateway/log_events.py
+++ b/src/amaranthferry/gateway/log_events.py
@@ -30,6 +30,7 @@
     HISTORY_GONE = "watch.history_gone"  # kind, revision
     STORE_ERA_SEEN = "store.era_seen"  # era, old_era
     STORE_ERA_REFUSED = "store.era_refused"  # kind, problem
+    VERSION_SUPERSEDED = "version.superseded"  # kind, version, required
     STORE_RESTORED = "store.restored"  # kind, era, revision, lost_era, lost_revision
     SERVER_WITHHELD = "server.withheld"  # server, known, listed
     SERVER_RELEASED = "server.released"  # server, reason
--- a/src/amaranthferry/gateway/store_sync.py
+++ b/src/amaranthferry/gateway/store_sync.py
@@ -250,7 +250,8 @@
             return _Result.STALE
         if not self._apply(update):
             return _Result.BEHIND if update.age <= MAX_UPDATE_AGE else _Result.STALE
-        self._state.freshness.confirm(sent - update.age)
+        self._state.require_version(update.version)
+        self._state.confirm(sent - update.age)
         return _Result.CURRENT if update.age <= MAX_UPDATE_AGE else _Result.STALE
 
     def _apply(self, update: StoreUpdate) -> bool:
@@ -314,6 +315,7 @@
             age,
             changes,
             self._state.era,
+            version=self._state.version,
         )
         self._send(sender, pack(update, limit=MAX_REPLY_BYTES))
 
--- a/src/amaranthferry/gateway/watching.py
+++ b/src/amaranthferry/gateway/watching.py
@@ -17,7 +17,7 @@
     StoreClient,
     StoredObject,
 )
-from ..types import Seconds, StoreEra
+from ..types import Seconds, SettingsVersion, StoreEra
 from .freshness import Freshness, boot_time
 from .log_events import LogEvent
 
@@ -31,6 +31,10 @@
 class ObjectCache(Protocol):
     """Define a cache of the objects of one kind."""
 
+    @property
+    def version(self) -> SettingsVersion:
+        """Return the version of the cached state, or 0 for a kind without versions."""
+
     def replace(self, objects: list[ObjectChange]) -> None:
         """Replace all objects of the kind."""
 
@@ -61,6 +65,7 @@
         self._cache = cache
         self._changes: deque[ObjectChange] = deque(maxlen=MAX_KEPT_CHANGES)
         self._oldest_revision = 0
+        self._required_version = SettingsVersion(0)
         self._unavailable = False
 
     @property
@@ -73,6 +78,32 @@
         """Return the era of the known position."""
         return StoreEra(0) if self.position is None else self.position.era
 
+    @property
+    def version(self) -> SettingsVersion:
+        """Return the version of the cached state, or 0 for a kind without versions."""
+        return self._cache.version
+
+    def require_version(self, version: SettingsVersion) -> None:
+        """Distrust the state while its version is older than another host's.
+
+        A restored store may hold an older version than is active on the other hosts.
+        """
+        if version <= max(self.version, self._required_version):
+            return
+        self._required_version = version
+        self.freshness.reset()
+        _log.warning(
+            LogEvent.VERSION_SUPERSEDED,
+            kind=self.kind,
+            version=self.version,
+            required=version,
+        )
+
+    def confirm(self, sent: Seconds) -> None:
+        """Record that a read sent at a time has confirmed the state."""
+        if self.version >= self._required_version:
+            self.freshness.confirm(sent)
+
     def apply_list(self, listing: Listing, sent: Seconds) -> None:
         """Apply a complete list, from a read sent at the given time.
 
@@ -91,7 +122,7 @@
                 self._cache.replace(objects)
             else:
                 self._apply_restored(objects, before)
-        self.freshness.confirm(sent)
+        self.confirm(sent)
 
     def _apply_restored(self, objects: list[ObjectChange], before: Position) -> None:
         """Replace the objects of an older era, and have the peers read them too."""
@@ -114,7 +145,7 @@
         self._mark_available()
         found = [_to_change(item.object, item.deleted) for item in changes.events]
         self.advance(found, changes.at)
-        self.freshness.confirm(sent)
+        self.confirm(sent)
 
     def advance(self, changes: list[ObjectChange], revision: int) -> None:
         """Apply the changes up to a revision, except those already known."""
--- a/src/amaranthferry/messages.py
+++ b/src/amaranthferry/messages.py
@@ -13,6 +13,7 @@
     ServerId,
     ServerState,
     ServerStateSource,
+    SettingsVersion,
     ShardId,
     StoreEra,
     Tokens,
@@ -166,7 +167,8 @@
     receiver must read the store itself. A reply carries the number of its request and
     the age of the read that confirmed it; an unsolicited update has the number 0 and
     confirms nothing. Large changes are compressed in `packed` instead; an update with
-    an origin is forwarded along that host's tree.
+    an origin is forwarded along that host's tree. `version` is that of the sender's
+    active configuration.
     """
 
     number: int
@@ -178,6 +180,7 @@
     era: StoreEra = StoreEra(0)
     packed: bytes = b""
     origin: HostId = HostId("")
+    version: SettingsVersion = SettingsVersion(0)
 
 
 class CoordinatorLeaving(Message, frozen=True, tag="leaving"):
--- a/tests/gateway/test_store_eras.py
+++ b/tests/gateway/test_store_eras.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from amaranthferry.embedded import free_address
 from amaranthferry.standins.metadata import StoreFault
 
 from .fleet import KEY, config, entry, fleet
@@ -16,11 +17,15 @@
 
 
 async def drill(system, *, age, away=0.3):
-    """Take the store away for a moment and bring it back from an older copy."""
+    """Take the store away, bring it back from a copy, and have the servers write."""
+    servers = system.store.objects("servers")
     system.store.fault = StoreFault.RESET
     await asyncio.sleep(away)
     await system.store.restore(age=age)
     system.store.fault = StoreFault.NONE
+    for name, spec in servers.items():
+        if system.store.objects("servers").get(name) != spec:
+            await system.store.put("servers", name, spec)
 
 
 async def accepted(caller, host, key):
@@ -148,3 +153,48 @@
         # Each host lists two kinds and the hosts, checks the key and writes its entry;
         # two readers watch two kinds.
         assert calls < hosts * 8 + 4 * RETURN_BOUND / 0.4
+
+
+async def test_host_that_starts_before_the_rewrite_distrusts_the_copy():
+    async with settled_fleet() as (system, caller):
+        await system.store.put("config", "main", config(2, keys=[NEW_KEY]))
+        await until_all(system, caller, {KEY: False, NEW_KEY: True})
+        await drill(system, age=60)
+        await system.store.put("config", "main", config(1))
+        await until(lambda: all(host.store_era == 2 for host in system.hosts))
+        app = await system.add_host("host-3")
+        await until(lambda: len(app.state.hosts) == 4)
+        await asyncio.sleep(1.0)
+        assert not await accepted(caller, 3, KEY)
+        await system.store.put("config", "main", config(2, keys=[NEW_KEY]))
+        await until_all(system, caller, {KEY: False, NEW_KEY: True})
+
+
+async def test_drill_while_a_reader_dies():
+    async with settled_fleet(4) as (system, caller):
+        await lose_changes(system)
+        reader = next(app for app in system.hosts if app._syncs["config"].is_reader)
+        await reader.stop()
+        system.urls.pop(system.hosts.index(reader))
+        system.hosts.remove(reader)
+        await drill(system, age=1.4, away=0.1)
+        await system.store.put("config", "main", config(2, keys=[NEW_KEY]))
+        await until_all(system, caller, {KEY: False, NEW_KEY: True})
+
+
+async def test_drill_while_the_store_refuses_a_host():
+    async with settled_fleet(4) as (system, caller):
+        await lose_changes(system)
+        client = system.hosts[0]._store
+        await client.stop()
+        client._address = free_address()
+        await drill(system, age=1.4, away=0.1)
+        await system.store.put("config", "main", config(2, keys=[NEW_KEY]))
+        await asyncio.sleep(RETURN_BOUND)
+        for host in range(1, 4):
+            assert not await accepted(caller, host, KEY)
+        # A host that can't read the new era serves nothing that it can't confirm.
+        await asyncio.sleep(3.0)
+        assert not await accepted(caller, 0, KEY)
+        client._address = system.store_address
+        await until_all(system, caller, {KEY: False, NEW_KEY: True})
--- a/tests/gateway/test_store_sync.py
+++ b/tests/gateway/test_store_sync.py
@@ -63,6 +63,7 @@
     def __init__(self):
         self.objects = {}
         self.unavailable = 0
+        self.version = 0
 
     def replace(self, objects):
         self.objects = {item.name: item.spec for item in objects}
