--- a/src/amaranthferry/cli.py
+++ b/src/amaranthferry/cli.py
@@ -13,6 +13,7 @@
 )
 from .cli_demo import demo
 from .cli_faults import faults
+from .cli_soak import soak
 
 app = typer.Typer(
     help="Operate an amaranthferry deployment.",
@@ -21,6 +22,7 @@
 )
 app.command()(demo)
 app.command()(faults)
+app.command()(soak)
 app.command()(cli_hosts.status)
 app.command(name="explain-request")(cli_request_trace.explain_request)
 app.add_typer(cli_hosts.servers, name="servers")
--- a/src/amaranthferry/gateway/dispatching.py
+++ b/src/amaranthferry/gateway/dispatching.py
@@ -177,6 +177,8 @@
         if start.status < 300 and not origin.signed:
             raise BrokenAnswer("The answer has no server signature.")
         self._failed = start.status >= MIN_SERVER_ERROR
+        if self._failed:
+            self._log(LogEvent.DISPATCH_FAILED, status=start.status)
         if self._call.streaming and not self._failed:
             return await self._relay_stream(conn, start)
         return await self._relay_buffered(conn, start)
--- a/src/amaranthferry/gateway/log_events.py
+++ b/src/amaranthferry/gateway/log_events.py
@@ -56,6 +56,7 @@
     REQUEST_SETTLED = "request.settled"  # request_id, outcome, reason, retry_after
     DISPATCH_UNREACHED = "dispatch.unreached"  # request_id, server, problem
     DISPATCH_NOT_RUN = "dispatch.not_run"  # request_id, server, status
+    DISPATCH_FAILED = "dispatch.failed"  # request_id, server, status
     DISPATCH_BROKEN = "dispatch.broken"  # request_id, server, problem
     PERMIT_GRANTED = "permit.granted"  # request_id, asker, server, queue, running
     PERMIT_REFUSED = "permit.refused"  # request_id, asker, reason, queue, slots, known
--- a/src/amaranthferry/request_trace.py
+++ b/src/amaranthferry/request_trace.py
@@ -17,6 +17,8 @@
     "freshness.changed",
     "store.lost",
     "store.regained",
+    "store.restored",
+    "version.superseded",
 )
 _COMMON_FIELDS = frozenset(
     {"event", "level", "timestamp", "host", "request_id", "attempt"}
--- /dev/null
+++ b/src/amaranthferry/soak/checks.py
@@ -0,0 +1,185 @@
+"""Check guarantees against what callers, servers and the operator have seen."""
+
+from collections.abc import Iterator
+from enum import StrEnum
+
+import msgspec
+
+from ..standins.deployment import REVOCATION_BOUND, CallKind, CallRecord
+from ..types import Seconds
+
+#: Statuses that promise that the request has not run.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+#: Time after a server's report, read without a fault, in which it may get requests.
+LEAVING_BOUND: Seconds = 3.0
+#: Events of a complete stream.
+EVENT_COUNT = 3
+
+
+class Guarantee(StrEnum):
+    """Define what the system guarantees under every fault."""
+
+    RUNS_ONCE = "non-idempotent work runs at most once"
+    NOT_RUN_IS_ACCURATE = "not run is true"
+    COMPLETE_ANSWER = "the whole answer to its own caller"
+    NO_WORK_TO_LEAVING = "a leaving server gets nothing new"
+    REVOCATION = "a revoked key is refused within its bound"
+    STOP_ABORTS_NOTHING = "a planned stop cuts nothing"
+    CONFIG_PERSISTS = "a configuration in force never reverts"
+    RECOVERY = "one fleet serves again after the last fault"
+
+
+class Violation(msgspec.Struct, frozen=True):
+    """Report one violated guarantee."""
+
+    guarantee: Guarantee
+    detail: str
+
+
+class Execution(msgspec.Struct, frozen=True):
+    """Record that a server began to run a request."""
+
+    attempt: str
+    server: str
+    at: Seconds
+
+
+class Span(msgspec.Struct, frozen=True):
+    """Represent the time of one fault."""
+
+    name: str
+    start: Seconds
+    end: Seconds
+
+    def overlaps(self, start: Seconds, end: Seconds) -> bool:
+        """Return whether the fault was present at some time of an interval."""
+        return self.start <= end and self.end >= start
+
+
+class SoakRecord(msgspec.Struct, kw_only=True):
+    """Collect what a run has shown; times are of the run's clock."""
+
+    calls: list[CallRecord] = []
+    executions: list[Execution] = []
+    #: Times at which the operator's last write that revoked a key was acknowledged.
+    revoked: dict[str, Seconds] = {}
+    leaving: dict[str, Seconds] = {}
+    faults: list[Span] = []
+    #: Configuration versions in force on each process, in order.
+    versions: dict[str, list[int]] = {}
+    planned_stops: list[Span] = []
+    unrecovered: list[str] = []
+
+
+def check_guarantees(record: SoakRecord) -> list[Violation]:
+    """Return every violation that a run has shown."""
+    return [
+        *_check_runs(record),
+        *_check_not_run(record),
+        *_check_answers(record),
+        *_check_leaving(record),
+        *_check_revocation(record),
+        *_check_stops(record),
+        *_check_versions(record),
+        *(Violation(Guarantee.RECOVERY, detail) for detail in record.unrecovered),
+    ]
+
+
+def _runs_by_attempt(record: SoakRecord) -> dict[str, list[Execution]]:
+    runs: dict[str, list[Execution]] = {}
+    for execution in record.executions:
+        runs.setdefault(execution.attempt, []).append(execution)
+    return runs
+
+
+def _check_runs(record: SoakRecord) -> Iterator[Violation]:
+    runs = _runs_by_attempt(record)
+    for call in record.calls:
+        servers = [run.server for run in runs.get(call.attempt, [])]
+        if len(servers) > 1 and not call.kind.repeatable:
+            yield Violation(
+                Guarantee.RUNS_ONCE, f"{call.kind} {call.attempt} ran on {servers}"
+            )
+
+
+def _check_not_run(record: SoakRecord) -> Iterator[Violation]:
+    runs = _runs_by_attempt(record)
+    for call in record.calls:
+        refused = call.status in NOT_RUN_STATUSES and not call.signature
+        if refused and call.attempt in runs and not call.kind.repeatable:
+            yield Violation(
+                Guarantee.NOT_RUN_IS_ACCURATE,
+                f"{call.kind} {call.attempt} got {call.status} and has run",
+            )
+
+
+def _check_answers(record: SoakRecord) -> Iterator[Violation]:
+    for call in record.calls:
+        if call.status != 200 or not call.complete:
+            continue
+        problem = _problem(call)
+        if problem:
+            yield Violation(
+                Guarantee.COMPLETE_ANSWER, f"{call.kind} {call.attempt}: {problem}"
+            )
+
+
+def _problem(call: CallRecord) -> str:
+    if not call.signature:
+        return "no signature"
+    if call.answered_attempt != call.attempt:
+        return f"answer of {call.answered_attempt}"
+    if call.kind is CallKind.LOOK:
+        expected = call.signature.removeprefix("signed-")
+    else:
+        events = range(EVENT_COUNT)
+        expected = "".join(f"id: {number}\ndata: {number}\n\n" for number in events)
+    return "" if call.body == expected else f"body {call.body!r}"
+
+
+def _check_leaving(record: SoakRecord) -> Iterator[Violation]:
+    for run in record.executions:
+        left = record.leaving.get(run.server)
+        if left is None or run.at <= left + LEAVING_BOUND:
+            continue
+        # Without the store or with a suspended host, the report may not be known yet.
+        start = left - LEAVING_BOUND
+        if not any(fault.overlaps(start, run.at) for fault in record.faults):
+            yield Violation(
+                Guarantee.NO_WORK_TO_LEAVING,
+                f"{run.server} got {run.attempt} {run.at - left:.2f} s after its report",
+            )
+
+
+def _check_revocation(record: SoakRecord) -> Iterator[Violation]:
+    runs = _runs_by_attempt(record)
+    for call in record.calls:
+        revoked = record.revoked.get(call.key)
+        if revoked is None or call.sent <= revoked + REVOCATION_BOUND:
+            continue
+        if call.attempt in runs:
+            late = call.sent - revoked
+            yield Violation(
+                Guarantee.REVOCATION,
+                f"{call.attempt} at {call.host}, sent {late:.2f} s after the revocation",
+            )
+
+
+def _check_stops(record: SoakRecord) -> Iterator[Violation]:
+    for stop in record.planned_stops:
+        for call in record.calls:
+            running = call.sent < stop.start < call.ended
+            cut = not call.complete and call.host == stop.name
+            if not running or not cut:
+                continue
+            if not any(f.overlaps(call.sent, call.ended) for f in record.faults):
+                yield Violation(
+                    Guarantee.STOP_ABORTS_NOTHING,
+                    f"{call.kind} {call.attempt} was cut at {call.host}",
+                )
+
+
+def _check_versions(record: SoakRecord) -> Iterator[Violation]:
+    for process, versions in record.versions.items():
+        if versions != sorted(versions):
+            yield Violation(Guarantee.CONFIG_PERSISTS, f"{process}: {versions}")
--- /dev/null
+++ b/src/amaranthferry/soak/run.py
@@ -0,0 +1,346 @@
+"""Run one soak: hosts as processes, stand-ins and callers here, faults from outside."""
+
+import asyncio
+import contextlib
+import itertools
+import random
+import signal
+from collections.abc import Awaitable, Callable, Coroutine
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import structlog
+
+from ..standins.deployment import (
+    ENGINE_SERVICE,
+    GRACE_TIME,
+    LEDGER_SERVICE,
+    CallKind,
+    CallRecord,
+    call,
+    config_spec,
+    server_entry,
+)
+from ..standins.metadata import MetadataStore, StoreFault
+from ..standins.routed import RoutedServer, ServerFault
+from ..standins.serving import serve
+from ..types import Seconds
+from .checks import EVENT_COUNT, Execution, SoakRecord, Span
+from .processes import HostProcess
+from .schedule import PlannedFault, SoakFault, plan_faults
+
+SERVERS_PER_SERVICE = 2
+CALL_PERIOD: Seconds = 0.08
+CALL_DEADLINE: Seconds = 2.5
+EVENT_INTERVAL: Seconds = 0.1
+SAMPLE_PERIOD: Seconds = 0.3
+START_TIMEOUT: Seconds = 60.0
+#: Time after the last fault in which all hosts serve as one fleet again.
+RECOVERY_TIME: Seconds = 12.0
+#: Pause between a copy's return and the operator's and the servers' rewrite.
+REWRITE_DELAY: Seconds = 0.3
+AWAY_TIME: Seconds = 0.3
+_log = structlog.get_logger(__name__)
+
+_STORE_FAULTS = {
+    SoakFault.STORE_BUSY: StoreFault.BUSY,
+    SoakFault.STORE_RESET: StoreFault.RESET,
+    SoakFault.STORE_SILENT: StoreFault.SILENT,
+}
+_SERVER_FAULTS = {
+    SoakFault.SERVER_CUTS_STREAMS: ServerFault.CUT_STREAM,
+    SoakFault.SERVER_LOSES_ANSWERS: ServerFault.RESET_AFTER_EXECUTION,
+    SoakFault.SERVER_FAILS: ServerFault.ERROR,
+    SoakFault.SERVER_FULL: ServerFault.FULL,
+    SoakFault.SERVER_SILENT: ServerFault.NO_ANSWER,
+    SoakFault.SERVER_CROSSES_ANSWERS: ServerFault.WRONG_ATTEMPT_ID,
+}
+
+
+class _RecordingServer(RoutedServer):
+    """Note the time of each execution."""
+
+    def __init__(self, name: str, service: str, record: SoakRecord) -> None:
+        super().__init__(name, event_count=EVENT_COUNT, event_interval=EVENT_INTERVAL)
+        self.service = service
+        self._record = record
+        self.address = ""
+        self.born = 1
+
+    def note_execution(self, attempt: str) -> None:
+        """Record that a request begins to run."""
+        now = asyncio.get_running_loop().time()
+        self._record.executions.append(Execution(attempt, self.name, now))
+
+
+class Soak:
+    """Run a schedule of faults against real hosts, and record what is seen."""
+
+    def __init__(
+        self,
+        seed: int,
+        *,
+        seconds: Seconds,
+        hosts: int,
+        folder: Path,
+        only: tuple[SoakFault, ...] = (),
+    ) -> None:
+        self.record = SoakRecord()
+        self.schedule = plan_faults(seed, seconds=seconds, only=only)
+        self._seconds = seconds
+        self._host_count = hosts
+        self._folder = folder
+        self._rng = random.Random(seed)
+        self._store = MetadataStore()
+        self._hosts: list[HostProcess] = []
+        self._servers: list[_RecordingServer] = []
+        self._numbers = itertools.count(1)
+        self._keys = ["key-1"]
+        self._version = 1
+        self._tasks: list[asyncio.Task[Any]] = []
+        self._busy: set[str] = set()
+        self._stack = contextlib.AsyncExitStack()
+
+    async def run(self) -> SoakRecord:
+        """Run to the end of the schedule and return the record."""
+        async with self._stack:
+            await self._open()
+            callers = self._spawn(self._call_forever())
+            sampler = self._spawn(self._sample_forever())
+            began = self._now()
+            for planned in self.schedule:
+                await asyncio.sleep(max(0.0, began + planned.at - self._now()))
+                self._spawn(self._inject(planned))
+            await asyncio.sleep(max(0.0, began + self._seconds - self._now()))
+            await self._check_recovery()
+            callers.cancel()
+            sampler.cancel()
+            await asyncio.gather(*self._tasks, return_exceptions=True)
+        return self.record
+
+    def _now(self) -> Seconds:
+        return asyncio.get_running_loop().time()
+
+    def _spawn(self, coro: Coroutine[Any, Any, None]) -> "asyncio.Task[None]":
+        task = asyncio.get_running_loop().create_task(coro)
+        self._tasks.append(task)
+        return task
+
+    async def _open(self) -> None:
+        url = await self._stack.enter_async_context(serve(self._store.app))
+        store = url.removeprefix("http://")
+        await self._write_config()
+        for service in (ENGINE_SERVICE, LEDGER_SERVICE):
+            for _ in range(SERVERS_PER_SERVICE):
+                await self._add_server(service)
+        for number in range(self._host_count):
+            host = HostProcess(f"host-{number}", store, self._folder)
+            self._stack.push_async_callback(host.kill)
+            self._hosts.append(host)
+        await asyncio.gather(*(host.start() for host in self._hosts))
+        async with asyncio.timeout(START_TIMEOUT):
+            while await self._unrecovered():
+                await asyncio.sleep(SAMPLE_PERIOD)
+
+    async def _write_config(self) -> None:
+        spec = config_spec(self._version, keys=self._keys)
+        await self._store.put("config", "main", spec)
+
+    async def _add_server(self, service: str) -> None:
+        number = next(self._numbers)
+        server = _RecordingServer(f"{service}-{number}", service, self.record)
+        server.born = number
+        server.on_execution = server.note_execution
+        url = await self._stack.enter_async_context(serve(server))
+        server.address = url.removeprefix("http://")
+        self._servers.append(server)
+        await self._write_server(server)
+
+    async def _write_server(self, server: _RecordingServer) -> None:
+        draining = server.name in self.record.leaving
+        entry = server_entry(
+            server.service, server.address, born=server.born, draining=draining
+        )
+        await self._store.put("servers", server.name, entry)
+
+    async def _call_forever(self) -> None:
+        for number in itertools.count():
+            await asyncio.sleep(self._rng.expovariate(1 / CALL_PERIOD))
+            host = self._rng.choice(self._hosts)
+            revoked = list(self.record.revoked)
+            use_revoked = bool(revoked) and self._rng.random() < 0.2
+            record = CallRecord(
+                attempt=f"attempt-{number}",
+                kind=self._rng.choice(tuple(CallKind)),
+                host=host.name,
+                key=self._rng.choice(revoked if use_revoked else self._keys),
+                sent=self._now(),
+            )
+            self.record.calls.append(record)
+            self._spawn(call(record, host.address, deadline=CALL_DEADLINE))
+
+    async def _sample_forever(self) -> None:
+        while True:
+            await asyncio.sleep(SAMPLE_PERIOD)
+            for host in self._hosts:
+                incarnation = host.incarnation
+                version = int((await host.metrics()).get("config_version", 0))
+                # A host that restarted meanwhile may have answered for the old one.
+                if version and incarnation == host.incarnation:
+                    versions = self.record.versions.setdefault(incarnation, [])
+                    if not versions or versions[-1] != version:
+                        versions.append(version)
+
+    async def _inject(self, planned: PlannedFault) -> None:
+        """Inject one fault, unless one of the same target is present."""
+        target, action = self._action(planned)
+        if target in self._busy:
+            return
+        self._busy.add(target)
+        began = self._now()
+        _log.info(
+            "soak.fault", fault=planned.fault, target=target, seconds=planned.duration
+        )
+        try:
+            await action()
+        finally:
+            self._busy.discard(target)
+            # A planned stop is no fault: nothing may be cut.
+            if planned.fault is not SoakFault.HOST_STOPPED:
+                span = Span(f"{planned.fault}: {target}", began, self._now())
+                self.record.faults.append(span)
+
+    def _action(
+        self, planned: PlannedFault
+    ) -> tuple[str, Callable[[], Awaitable[None]]]:
+        """Return the name of a fault's target, and what injects the fault."""
+        fault, duration = planned.fault, planned.duration
+        if fault in _STORE_FAULTS:
+            return "store", lambda: self._fail_store(_STORE_FAULTS[fault], duration)
+        host = self._hosts[planned.index % len(self._hosts)]
+        servers = [s for s in self._servers if s.name not in self.record.leaving]
+        server = servers[planned.index % len(servers)]
+        if fault in _SERVER_FAULTS:
+            kind = _SERVER_FAULTS[fault]
+            return server.name, lambda: self._fail_server(server, kind, duration)
+        return {
+            SoakFault.HOST_KILLED: (host.name, lambda: self._kill([host], duration)),
+            SoakFault.ALL_HOSTS_KILLED: (
+                "hosts",
+                lambda: self._kill(self._hosts, duration),
+            ),
+            SoakFault.HOST_SUSPENDED: (
+                host.name,
+                lambda: self._suspend(host, duration),
+            ),
+            SoakFault.HOST_STOPPED: (host.name, lambda: self._stop(host)),
+            SoakFault.STORE_RESTORED: ("store", lambda: self._restore(planned.age)),
+            SoakFault.STORE_COMPACTED: ("history", self._compact),
+            SoakFault.SERVER_REPLACED: (
+                server.service,
+                lambda: self._replace(server),
+            ),
+            SoakFault.KEY_REVOKED: ("config", self._revoke),
+            SoakFault.CONFIG_CHANGED: ("config", self._change_config),
+        }[fault]
+
+    async def _kill(self, hosts: list[HostProcess], duration: Seconds) -> None:
+        await asyncio.gather(*(host.kill() for host in hosts))
+        await asyncio.sleep(duration)
+        await asyncio.gather(*(host.start() for host in hosts))
+        await self._wait_ready(hosts)
+
+    async def _suspend(self, host: HostProcess, duration: Seconds) -> None:
+        host.signal(signal.SIGSTOP)
+        await asyncio.sleep(duration)
+        host.signal(signal.SIGCONT)
+
+    async def _stop(self, host: HostProcess) -> None:
+        began = self._now()
+        host.signal(signal.SIGTERM)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(GRACE_TIME):
+                await host.wait()
+        self.record.planned_stops.append(Span(host.name, began, self._now()))
+        await host.kill()
+        await host.start()
+        await self._wait_ready([host])
+
+    async def _wait_ready(self, hosts: list[HostProcess]) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(RECOVERY_TIME):
+                while not all([await host.is_ready() for host in hosts]):
+                    await asyncio.sleep(SAMPLE_PERIOD)
+
+    async def _fail_store(self, fault: StoreFault, duration: Seconds) -> None:
+        self._store.fault = fault
+        await asyncio.sleep(duration)
+        self._store.fault = StoreFault.NONE
+
+    async def _restore(self, age: Seconds) -> None:
+        await self._fail_store(StoreFault.RESET, AWAY_TIME)
+        await self._store.restore(age=age)
+        await asyncio.sleep(REWRITE_DELAY)
+        await self._write_config()
+        now = self._now()
+        # The bound counts from the acknowledgement that stands.
+        lost = {key: at for key, at in self.record.revoked.items() if at >= now - age}
+        self.record.revoked.update(dict.fromkeys(lost, now))
+        for server in self._servers:
+            await self._write_server(server)
+
+    async def _compact(self) -> None:
+        self._store.compact_history()
+
+    async def _replace(self, server: _RecordingServer) -> None:
+        await self._add_server(server.service)
+        self.record.leaving[server.name] = self._now()
+        await self._write_server(server)
+
+    async def _revoke(self) -> None:
+        revoked, self._keys = self._keys, [f"key-{next(self._numbers)}"]
+        await self._change_config()
+        self.record.revoked.update(dict.fromkeys(revoked, self._now()))
+
+    async def _change_config(self) -> None:
+        self._version += self._rng.randrange(1, 4)
+        await self._write_config()
+
+    async def _fail_server(
+        self, server: _RecordingServer, fault: ServerFault, duration: Seconds
+    ) -> None:
+        server.fault = fault
+        await asyncio.sleep(duration)
+        server.fault = ServerFault.NONE
+
+    async def _check_recovery(self) -> None:
+        """Record what is still wrong some time after the last fault."""
+        deadline = self._now() + RECOVERY_TIME
+        problems = await self._unrecovered()
+        while problems and self._now() < deadline:
+            await asyncio.sleep(SAMPLE_PERIOD)
+            problems = await self._unrecovered()
+        self.record.unrecovered = problems
+
+    async def _unrecovered(self) -> list[str]:
+        expected = {"hosts": float(len(self._hosts)), "config_version": self._version}
+        problems = []
+        for host in self._hosts:
+            metrics = await host.metrics()
+            found = {name: metrics.get(name) for name in expected}
+            if not await host.is_ready() or found != expected:
+                problems.append(f"{host.incarnation}: {found}, expected {expected}")
+        return problems
+
+
+def write_findings(folder: Path, soak: Soak, violations: list[Any]) -> None:
+    """Write the schedule, the record and the violations of a run to its folder."""
+    parts = {
+        "schedule": soak.schedule,
+        "violations": violations,
+        "record": soak.record,
+    }
+    for name, part in parts.items():
+        data = msgspec.json.format(msgspec.json.encode(part), indent=1)
+        (folder / f"{name}.json").write_bytes(data)
--- /dev/null
+++ b/src/amaranthferry/soak/schedule.py
@@ -0,0 +1,73 @@
+"""Plan the faults of a soak run from its seed."""
+
+import random
+from enum import StrEnum
+
+import msgspec
+
+from ..types import Seconds
+
+#: Bounds of the time between the starts of two faults; they overlap.
+MIN_GAP: Seconds = 0.5
+MAX_GAP: Seconds = 4.0
+MIN_DURATION: Seconds = 0.3
+MAX_DURATION: Seconds = 5.0
+MAX_COPY_AGE: Seconds = 6.0
+#: Time before the first fault, and without faults at the end.
+QUIET_START: Seconds = 2.0
+QUIET_END: Seconds = 12.0
+
+
+class SoakFault(StrEnum):
+    """Define the faults that a soak run injects."""
+
+    HOST_KILLED = "host killed"
+    HOST_SUSPENDED = "host suspended"
+    HOST_STOPPED = "host stopped as planned"
+    ALL_HOSTS_KILLED = "all hosts killed"
+    STORE_BUSY = "store busy"
+    STORE_RESET = "store resets connections"
+    STORE_SILENT = "store silent"
+    STORE_RESTORED = "store restored from a copy"
+    STORE_COMPACTED = "store's history compacted"
+    SERVER_CUTS_STREAMS = "server cuts streams"
+    SERVER_LOSES_ANSWERS = "server loses answers"
+    SERVER_FAILS = "server fails"
+    SERVER_FULL = "server full"
+    SERVER_SILENT = "server silent"
+    SERVER_CROSSES_ANSWERS = "server sends answers of other requests"
+    SERVER_REPLACED = "server replaced"
+    KEY_REVOKED = "key revoked"
+    CONFIG_CHANGED = "configuration changed"
+
+
+class PlannedFault(msgspec.Struct, frozen=True):
+    """Plan one fault; `index` chooses a host or server, `age` is that of a copy."""
+
+    fault: SoakFault
+    at: Seconds
+    duration: Seconds
+    index: int
+    age: Seconds
+
+
+def plan_faults(
+    seed: int, *, seconds: Seconds, only: tuple[SoakFault, ...] = ()
+) -> list[PlannedFault]:
+    """Return the faults of a run in the order of their starts."""
+    rng = random.Random(seed)
+    choices = only or tuple(SoakFault)
+    planned = []
+    at = QUIET_START
+    while at < seconds - QUIET_END:
+        planned.append(
+            PlannedFault(
+                rng.choice(choices),
+                round(at, 3),
+                round(rng.uniform(MIN_DURATION, MAX_DURATION), 3),
+                rng.randrange(1_000),
+                round(rng.uniform(0.0, MAX_COPY_AGE), 3),
+            )
+        )
+        at += rng.uniform(MIN_GAP, MAX_GAP)
+    return planned
--- a/src/amaranthferry/standins/routed.py
+++ b/src/amaranthferry/standins/routed.py
@@ -1,6 +1,7 @@
 """Stand in for the backend servers of routed requests and their faults."""
 
 import asyncio
+from collections.abc import Callable
 from enum import StrEnum
 
 import msgspec
@@ -50,6 +51,7 @@
         self.fault = ServerFault.NONE
         self.executed: list[ReceivedRequest] = []
         self.cancelled: list[str] = []
+        self.on_execution: Callable[[str], None] = lambda attempt: None
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one request over ASGI."""
@@ -70,6 +72,7 @@
         path = request.scope["raw_path"].decode("latin-1")
         target = path + (f"?{request.url.query}" if request.url.query else "")
         body = await request.body()
+        self.on_execution(attempt)
         self.executed.append(
             ReceivedRequest(
                 attempt, request.method, target, dict(request.headers), body
--- a/tests/gateway/test_application.py
+++ b/tests/gateway/test_application.py
@@ -2,7 +2,9 @@
 
 import aiohttp
 import pytest
+import structlog
 
+from amaranthferry.gateway import dispatching
 from amaranthferry.standins.metadata import StoreFault
 from amaranthferry.standins.routed import ServerFault
 
@@ -280,3 +282,15 @@
         began = asyncio.get_running_loop().time()
         assert (await caller.send_prompt(host=other))[1] == 200
         assert asyncio.get_running_loop().time() - began < 1.0
+
+
+async def test_failed_answer_of_a_server_is_logged(monkeypatch):
+    log = structlog.testing.CapturingLogger()
+    monkeypatch.setattr(dispatching, "_log", log)
+    async with fleet(ledgers=1) as (system, caller):
+        system.servers["ledger-0"].fault = ServerFault.ERROR
+        attempt, status, *_ = await caller.send("POST", "/pay/x")
+    assert status == 500
+    (line,) = [line.kwargs for line in log.calls if line.args == ("dispatch.failed",)]
+    assert (line["request_id"], line["server"]) == (attempt, "ledger-0")
+    assert line["status"] == 500
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -32,6 +32,7 @@
     "amaranthferry.follower",
     "amaranthferry.load",
     "amaranthferry.orders",
+    "amaranthferry.soak",
     "amaranthferry.standins",
 )
 
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,170 @@
+import pytest
+
+from amaranthferry.soak.checks import (
+    LEAVING_BOUND,
+    Execution,
+    Guarantee,
+    SoakRecord,
+    Span,
+    check_guarantees,
+)
+from amaranthferry.soak.run import Soak
+from amaranthferry.soak.schedule import QUIET_END, SoakFault, plan_faults
+from amaranthferry.standins.deployment import (
+    REVOCATION_BOUND,
+    CallKind,
+    CallRecord,
+)
+
+STREAM = "".join(f"id: {n}\ndata: {n}\n\n" for n in range(3))
+
+
+def call(kind=CallKind.REVIEW, **fields):
+    fields = {
+        "attempt": "a",
+        "host": "host-0",
+        "key": "key-1",
+        "sent": 10.0,
+        "ended": 11.0,
+        "status": 200,
+        "signature": "signed-engine-1",
+        "answered_attempt": "a",
+        "complete": True,
+        "body": STREAM,
+        **fields,
+    }
+    return CallRecord(kind=kind, **fields)
+
+
+def run_at(at, server="engine-1"):
+    return Execution("a", server, at)
+
+
+def found(**fields):
+    return [item.guarantee for item in check_guarantees(SoakRecord(**fields))]
+
+
+def test_schedule_follows_from_its_seed():
+    assert plan_faults(1, seconds=60) == plan_faults(1, seconds=60)
+    assert plan_faults(1, seconds=60) != plan_faults(2, seconds=60)
+
+
+def test_schedule_leaves_time_to_recover():
+    planned = plan_faults(3, seconds=120)
+    assert all(fault.at < 120 - QUIET_END for fault in planned)
+    assert [fault.at for fault in planned] == sorted(fault.at for fault in planned)
+
+
+def test_schedule_has_every_fault_in_some_run():
+    planned = {f.fault for seed in range(20) for f in plan_faults(seed, seconds=60)}
+    assert planned == set(SoakFault)
+
+
+def test_schedule_may_be_limited_to_some_faults():
+    only = (SoakFault.STORE_RESTORED,)
+    assert {f.fault for f in plan_faults(1, seconds=60, only=only)} == set(only)
+
+
+def test_sound_run_has_no_violation():
+    record = {
+        "calls": [call()],
+        "executions": [run_at(10.1)],
+        "versions": {"host-0#1": [1, 3]},
+        "planned_stops": [Span("host-0", 10.5, 12.0)],
+        "revoked": {"key-0": 1.0},
+        "leaving": {"engine-1": 9.0},
+    }
+    assert found(**record) == []
+
+
+@pytest.mark.parametrize("kind", CallKind)
+def test_second_run_of_non_idempotent_work(kind):
+    body = "engine-1" if kind is CallKind.LOOK else STREAM
+    calls = [call(kind, body=body)]
+    runs = [run_at(10.1), run_at(10.2, "engine-2")]
+    expected = [] if kind.repeatable else [Guarantee.RUNS_ONCE]
+    assert found(calls=calls, executions=runs) == expected
+
+
+@pytest.mark.parametrize(
+    ("status", "signature", "violated"),
+    [(503, "", True), (429, "", True), (502, "", False), (503, "signed-x", False)],
+)
+def test_refusal_of_what_has_run(status, signature, violated):
+    calls = [call(status=status, signature=signature)]
+    expected = [Guarantee.NOT_RUN_IS_ACCURATE] if violated else []
+    assert found(calls=calls, executions=[run_at(10.1)]) == expected
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"signature": ""},
+        {"answered_attempt": "b"},
+        {"body": STREAM[:-14]},
+        {"body": STREAM + STREAM},
+        {"kind": CallKind.LOOK, "body": "engine-2"},
+    ],
+)
+def test_answer_that_is_not_the_whole_one_of_its_caller(fields):
+    assert found(calls=[call(**fields)]) == [Guarantee.COMPLETE_ANSWER]
+
+
+def test_answer_that_was_cut_is_no_violation():
+    assert found(calls=[call(body=STREAM[:-14], complete=False)]) == []
+
+
+@pytest.mark.parametrize(
+    ("at", "faults", "violated"),
+    [
+        (LEAVING_BOUND + 1.1, [], True),
+        (LEAVING_BOUND + 0.9, [], False),
+        (LEAVING_BOUND + 1.1, [Span("store silent: store", 0.5, 1.5)], False),
+    ],
+)
+def test_work_at_a_leaving_server(at, faults, violated):
+    record = {"leaving": {"engine-1": 1.0}, "executions": [run_at(at)]}
+    expected = [Guarantee.NO_WORK_TO_LEAVING] if violated else []
+    assert found(faults=faults, **record) == expected
+
+
+@pytest.mark.parametrize(
+    ("sent", "ran", "violated"),
+    [(0.1, True, True), (-0.1, True, False), (0.1, False, False)],
+)
+def test_use_of_a_revoked_key(sent, ran, violated):
+    at = 10.0 + REVOCATION_BOUND + sent
+    runs = [run_at(at)] if ran else []
+    expected = [Guarantee.REVOCATION] if violated else []
+    calls = [call(sent=at, ended=at + 1.0)]
+    assert found(calls=calls, executions=runs, revoked={"key-1": 10.0}) == expected
+
+
+@pytest.mark.parametrize(
+    ("host", "faults", "violated"),
+    [
+        ("host-0", [], True),
+        ("host-1", [], False),
+        ("host-0", [Span("server cuts streams: engine-1", 9.0, 10.2)], False),
+    ],
+)
+def test_cut_in_a_planned_stop(host, faults, violated):
+    expected = [Guarantee.STOP_ABORTS_NOTHING] if violated else []
+    stops = [Span(host, 10.5, 12.0)]
+    calls = [call(complete=False)]
+    assert found(calls=calls, planned_stops=stops, faults=faults) == expected
+
+
+def test_configuration_that_reverts():
+    assert found(versions={"host-0#1": [1, 3, 2]}) == [Guarantee.CONFIG_PERSISTS]
+
+
+def test_fleet_that_does_not_recover():
+    assert found(unrecovered=["host-0"]) == [Guarantee.RECOVERY]
+
+
+async def test_short_run_of_real_hosts(tmp_path):
+    soak = Soak(7, seconds=20.0, hosts=3, folder=tmp_path)
+    record = await soak.run()
+    assert check_guarantees(record) == []
+    assert sum(item.status == 200 for item in record.calls) > len(record.calls) / 3
