--- a/src/amaranthferry/gateway/application.py
+++ b/src/amaranthferry/gateway/application.py
@@ -37,17 +37,18 @@
 from .log_events import LogEvent
 from .performer import Performer
 from .presence import HostDirectory
-from .store_sync import StoreSync
+from .store_sync import CONFIRM_AGE, StoreSync
 from .telemetry import Telemetry
 from .watching import KindReader, SyncState
 
 TICK_PERIOD: Seconds = 0.05
 #: Time without a message after which a coordinator is no longer waited for.
 COORDINATOR_TIMEOUT: Seconds = 0.35
-#: Maximum wait of one watch, and its fraction of the bound on stale keys. A watch
-#: confirms the state as of its sending, which is one to two waits old by then.
-MAX_WATCH_WAIT: Seconds = 0.8
-WATCH_WAIT_FRACTION = 0.16
+#: Wait of one watch; a silent one delays the notice of a change by at most the period
+#: of the short reads that confirm the state.
+WATCH_WAIT: Seconds = 6.0
+#: Age at which the state is confirmed, as a fraction of the bound on stale keys.
+CONFIRM_FRACTION = 0.24
 #: Time after the start in which the hosts listed in the store count as members.
 JOIN_PERIOD: Seconds = 2.0
 #: Time that a request waits for a starting host to load its state.
@@ -130,14 +131,15 @@
                 SERVER_KIND, self.servers, Freshness(self.settings.bounds.revoke)
             ),
         )
-        wait = min(MAX_WATCH_WAIT, self.settings.bounds.revoke * WATCH_WAIT_FRACTION)
+        confirm_after = min(CONFIRM_AGE, self.settings.bounds.revoke * CONFIRM_FRACTION)
         return {
             state.kind: StoreSync(
                 self.settings.host,
                 state,
                 KindReader(self._store, state),
                 self._send,
-                wait=wait,
+                wait=WATCH_WAIT,
+                confirm_after=confirm_after,
             )
             for state in states
         }
--- a/src/amaranthferry/gateway/store_sync.py
+++ b/src/amaranthferry/gateway/store_sync.py
@@ -1,7 +1,8 @@
 """Distribute store updates from a few reader hosts to all others.
 
-Calls to the store are counted while messages between hosts cost little. A host that
-is not a reader requests an update from one about once a second. It dates the reply to
+Calls to the store are counted while messages between hosts cost little. Readers watch
+for changes with long waits, and the first one also confirms its state by short reads,
+since a waiting watch confirms nothing until it returns. A host that is not a reader requests an update from one about once a second. It dates the reply to
 the read behind it: the age in the reply plus the time since the request was sent. When
 no reader has current state, the hosts take turns at reading the store themselves, and
 the one that succeeds stands in for the readers.
@@ -48,9 +49,10 @@
 MAX_BATCH_PAUSE: Seconds = 0.2
 #: Period over which the hosts spread their reads of a restored store.
 RESTORED_READ_SPREAD: Seconds = 0.5
-#: Time without an answer of the store, beyond the expected one, after which a reader
-#: requests updates from other hosts.
-READ_PATIENCE: Seconds = 0.4
+#: Age at which the first reader confirms its state by a read, unless one is given, and
+#: the fraction of it after which it checks.
+CONFIRM_AGE: Seconds = 1.2
+CONFIRM_STEP = 2 / 3
 #: Time for which a host that could read the store stands in for the readers.
 STAND_IN_TIME: Seconds = 10.0
 _log = structlog.get_logger(__name__)
@@ -88,12 +90,14 @@
         send: Send,
         *,
         wait: Seconds,
+        confirm_after: Seconds = CONFIRM_AGE,
     ) -> None:
         self._host = host
         self._state = state
         self._reader = reader
         self._send = send
         self._wait = wait
+        self._confirm_after = confirm_after
         self._readers: tuple[HostId, ...] = (host,)
         self._others: tuple[HostId, ...] = ()
         self._pending: dict[int, asyncio.Future[StoreUpdate]] = {}
@@ -127,7 +131,7 @@
         while True:
             if self.is_reader or self._state.position is None:
                 began, before = boot_time(), self._state.position
-                succeeded = await self._read_patiently()
+                succeeded = await self._read_as_reader()
                 early = boot_time() - began < self._wait / 2
                 fruitful = succeeded and (not early or self._state.position != before)
             else:
@@ -140,19 +144,30 @@
                     random.uniform(MAX_BATCH_PAUSE / 2, MAX_BATCH_PAUSE)
                 )
 
-    async def _read_patiently(self) -> bool:
-        """Read the store; while no answer comes, request updates from other hosts."""
-        read = asyncio.ensure_future(self._reader.read(self._wait))
-        patience = self._wait + READ_PATIENCE
+    async def _read_as_reader(self) -> bool:
+        """Watch the store for changes; meanwhile keep the state confirmed."""
+        watch = asyncio.ensure_future(self._reader.read(self._wait))
         try:
-            while not read.done():
-                await asyncio.wait({read}, timeout=patience)
-                if not read.done() or not read.result():
-                    await self._request_from_sources()
-                patience = READ_PATIENCE
-            return read.result()
+            while not watch.done():
+                await asyncio.wait({watch}, timeout=CONFIRM_STEP * self._confirm_after)
+                if not watch.done():
+                    await self._confirm()
+            if not watch.result():
+                await self._request_from_sources()
+            return watch.result()
         finally:
-            read.cancel()
+            watch.cancel()
+
+    async def _confirm(self) -> None:
+        """Confirm the state through the first reader, or by a read as that one."""
+        is_first = self._readers[0] == self._host
+        if not is_first and await self._request_from_sources() is _Result.CURRENT:
+            return
+        age = self._state.freshness.age(boot_time())
+        if age is not None and age < self._confirm_after:
+            return
+        if not await self._reader.read():
+            await self._request_from_sources()
 
     async def _request_from_sources(self) -> _Result:
         """Request an update from each source, until one has current state."""
--- a/src/amaranthferry/platform/store.py
+++ b/src/amaranthferry/platform/store.py
@@ -182,7 +182,12 @@
             return
 
     async def _call(
-        self, method: str, path: str, body: bytes = b"", *, wait: Seconds = 0.0
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        *,
+        wait: Seconds | None = None,
     ) -> _Answer:
         self.calls += 1
         conn = await self._connection()
@@ -193,7 +198,9 @@
                 headers.append(("content-type", "application/json"))
             conn.send(method, path, headers, body)
             sent = True
-            async with asyncio.timeout(wait + WATCH_TIMEOUT if wait else CALL_TIMEOUT):
+            async with asyncio.timeout(
+                CALL_TIMEOUT if wait is None else wait + WATCH_TIMEOUT
+            ):
                 start = await conn.start()
                 answer = await conn.body()
         except (BrokenAnswer, TimeoutError, OSError) as exc:
--- a/tests/gateway/test_store_sync.py
+++ b/tests/gateway/test_store_sync.py
@@ -3,9 +3,11 @@
 import pytest
 
 from amaranthferry.exceptions import StoreUnavailable
+from amaranthferry.gateway.application import WATCH_WAIT
 from amaranthferry.gateway.freshness import Freshness, boot_time
 from amaranthferry.gateway.read_pace import FLEET_READ_RATE, MIN_READ_PERIOD
 from amaranthferry.gateway.store_sync import (
+    CONFIRM_AGE,
     MAX_UPDATE_AGE,
     MIN_READ_PAUSE,
     StoreSync,
@@ -31,6 +33,7 @@
         self.history = []
         self.revision = 1
         self.unavailable = False
+        self.silent_watches = False
         self.calls = 0
 
     def put(self, name, spec):
@@ -46,8 +49,11 @@
     async def watch(self, kind, revision, *, wait):
         self._call()
         deadline = boot_time() + wait
-        while boot_time() < deadline and not self._since(revision):
+        silent = self.silent_watches and wait
+        while boot_time() < deadline and (silent or not self._since(revision)):
             await asyncio.sleep(0.005)
+        if silent:
+            raise StoreUnavailable("No answer.", remedy="Wait.")
         return Changes(self._since(revision), self.revision)
 
     def _since(self, revision):
@@ -84,7 +90,7 @@
 class FakeNetwork:
     """Connect StoreSync instances by function calls; hosts can be disconnected."""
 
-    def __init__(self, hosts):
+    def __init__(self, hosts, *, wait=0.05):
         self.hosts = hosts
         self.stores = {host: FakeStore() for host in hosts}
         self.caches = {host: FakeCache() for host in hosts}
@@ -95,7 +101,7 @@
             state = SyncState(KIND, self.caches[host], Freshness(5.0))
             self.states[host] = state
             reader = KindReader(self.stores[host], state)
-            sync = StoreSync(host, state, reader, self._link(host), wait=0.05)
+            sync = StoreSync(host, state, reader, self._link(host), wait=wait)
             sync.set_hosts(hosts)
             self.syncs[host] = sync
 
@@ -391,3 +397,28 @@
     await asyncio.sleep(0.7)
     assert network.stores[name].calls > before
     await running
+
+
+async def test_calm_fleet_reads_seldom_and_stays_current():
+    network = FakeNetwork(hosts(8), wait=WATCH_WAIT)
+    running = asyncio.ensure_future(network.run(6.5))
+    await asyncio.sleep(0.5)
+    calls = network.calls()
+    while not running.done():
+        await asyncio.sleep(0.1)
+        assert max(network.age(name) for name in network.hosts) < 0.6 * 5.0
+    # Two watches end meanwhile, and the first reader reads every 1.6 s.
+    assert network.calls() - calls <= 2 + 6.0 / CONFIRM_AGE
+
+
+async def test_change_is_known_in_time_though_the_watches_are_silent():
+    network = FakeNetwork(hosts(6), wait=WATCH_WAIT)
+    for store in network.stores.values():
+        store.silent_watches = True
+    running = asyncio.ensure_future(network.run(4.0))
+    await asyncio.sleep(1.0)
+    network.put("a", {"state": "draining"})
+    await asyncio.sleep(2.0)
+    for name in network.hosts:
+        assert network.caches[name].objects == {"a": {"state": "draining"}}
+    await running
