--- a/src/amaranthferry/catalog.py
+++ b/src/amaranthferry/catalog.py
@@ -46,7 +46,7 @@
 PRIOR_PREFILL_RATE = 30_000.0
 PRIOR_DECODE_INTERVAL: Seconds = 0.008
 #: Fraction of a quota's slack granted as leeway; the rest covers new ledgers.
-LEEWAY_FRACTION = 0.25
+LEEWAY_FRACTION = 0.5
 #: Largest fraction of the burst withheld from a ledger without earlier usage data.
 WITHHELD_FRACTION = 0.5
 _SPLIT_STEPS = 10_000
