--- a/src/amaranthferry/gateway/broadcast.py
+++ b/src/amaranthferry/gateway/broadcast.py
@@ -8,16 +8,21 @@
 from collections.abc import Sequence
 
 import msgspec
+import structlog
 
 from ..messages import ObjectChange, StoreUpdate
 from ..types import HostId
+from .log_events import LogEvent
 
 #: Hosts that each host forwards an update to.
 FAN_OUT = 4
 #: Size above which changes are compressed.
 MIN_PACKED_BYTES = 1_024
+#: The fastest level; links are slow, but so are the hosts' processors.
+COMPRESSION_LEVEL = 1
 #: Limit of the decompressed changes of one update.
 MAX_UNPACKED_BYTES = 4 * 1024 * 1024
+_log = structlog.get_logger(__name__)
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(tuple[ObjectChange, ...])
 
@@ -36,14 +41,21 @@
 
 
 def pack(update: StoreUpdate, *, limit: int) -> StoreUpdate:
-    """Return an update with large changes compressed, or without any over the limit."""
+    """Return an update with large changes compressed.
+
+    Changes over the limit, and those that can't be encoded, are left out.
+    """
     if not update.changes:
         return update
-    data = _encoder.encode(update.changes)
+    try:
+        data = _encoder.encode(update.changes)
+    except (OverflowError, TypeError, RecursionError) as exc:
+        _log.warning(LogEvent.UPDATE_NOT_SENDABLE, kind=update.kind, problem=str(exc))
+        return msgspec.structs.replace(update, changes=None)
     if len(data) <= min(MIN_PACKED_BYTES, limit):
         return update
-    packed = zlib.compress(data, 1) if len(data) <= MAX_UNPACKED_BYTES else b""
-    if not packed or len(packed) > limit:
+    packed = zlib.compress(data, COMPRESSION_LEVEL)
+    if len(packed) > limit or len(data) > MAX_UNPACKED_BYTES:
         return msgspec.structs.replace(update, changes=None)
     return msgspec.structs.replace(update, changes=None, packed=packed)
 
--- a/src/amaranthferry/gateway/store_sync.py
+++ b/src/amaranthferry/gateway/store_sync.py
@@ -2,10 +2,11 @@
 
 Calls to the store are counted while messages between hosts cost little. Readers watch
 for changes with long waits, and the first one also confirms its state by short reads,
-since a waiting watch confirms nothing until it returns. A host that is not a reader requests an update from one about once a second. It dates the reply to
-the read behind it: the age in the reply plus the time since the request was sent. When
-no reader has current state, the hosts take turns at reading the store themselves, and
-the one that succeeds stands in for the readers.
+since a waiting watch confirms nothing until it returns. A host that is not a reader
+requests an update from one about once a second. It dates the reply to the read behind
+it: the age in the reply plus the time since the request was sent. When no reader has
+current state, the hosts take turns at reading the store themselves, and the one that
+succeeds stands in for the readers.
 """
 
 import asyncio
@@ -41,7 +42,6 @@
 MAX_DIRECT_BYTES = 64 * 1024
 #: Time that a broadcast may take to reach a host that is told it is behind.
 BROADCAST_TIME: Seconds = 0.4
-NOWHERE = Position(StoreEra(0), -1)
 #: Bounds of the pause after a read that fails or brings nothing before its wait is over.
 MIN_READ_PAUSE: Seconds = 0.05
 MAX_READ_PAUSE: Seconds = 0.5
@@ -55,6 +55,7 @@
 CONFIRM_STEP = 2 / 3
 #: Time for which a host that could read the store stands in for the readers.
 STAND_IN_TIME: Seconds = 10.0
+_NOWHERE = Position(StoreEra(0), -1)
 _log = structlog.get_logger(__name__)
 
 Send = Callable[[HostId, Message], bool]
@@ -102,6 +103,7 @@
         self._others: tuple[HostId, ...] = ()
         self._pending: dict[int, asyncio.Future[StoreUpdate]] = {}
         self._last_number = 0
+        self._watch: asyncio.Future[bool] | None = None
         self._wake = asyncio.Event()
         self._read_needed = False
         self._read_spread: Seconds = 0.0
@@ -124,6 +126,12 @@
             _log.info(LogEvent.READERS_CHANGED, kind=self._state.kind, readers=readers)
         self._readers = readers
         self._others = tuple(host for host in live_hosts if host != self._host)
+        if self._watch is not None and not self.is_reader and self._state.position:
+            # A host that has just found the others requests updates from them at once.
+            self._watch.cancel()
+        known = set(live_hosts)
+        self._forwarded = {h: at for h, at in self._forwarded.items() if h in known}
+        self._stand_ins = {h: at for h, at in self._stand_ins.items() if h in known}
 
     async def run(self) -> None:
         """Read the store if this host is a reader, or request updates from readers."""
@@ -146,16 +154,19 @@
 
     async def _read_as_reader(self) -> bool:
         """Watch the store for changes; meanwhile keep the state confirmed."""
-        watch = asyncio.ensure_future(self._reader.read(self._wait))
+        self._watch = watch = asyncio.ensure_future(self._reader.read(self._wait))
         try:
             while not watch.done():
                 await asyncio.wait({watch}, timeout=CONFIRM_STEP * self._confirm_after)
                 if not watch.done():
                     await self._confirm()
+            if watch.cancelled():
+                return True
             if not watch.result():
                 await self._request_from_sources()
             return watch.result()
         finally:
+            self._watch = None
             watch.cancel()
 
     async def _confirm(self) -> None:
@@ -244,7 +255,7 @@
             self._broadcast(self._state.revision or 0)
         return succeeded
 
-    async def _request_update(self, source: HostId) -> "_Result":
+    async def _request_update(self, source: HostId) -> _Result:
         self._last_number += 1
         number, sent = self._last_number, boot_time()
         revision, era = self._state.revision or 0, self._state.era
@@ -301,7 +312,7 @@
                 self._wake.set()
             self._stand_ins[source] = boot_time() + STAND_IN_TIME
         found = Position(update.era, update.revision)
-        if update.origin and found > self._forwarded.get(source, NOWHERE):
+        if update.origin and found > self._forwarded.get(source, _NOWHERE):
             self._forwarded[source] = found
             self._forward(update, source)
         known = self._state.position
--- a/tests/gateway/test_store_sync.py
+++ b/tests/gateway/test_store_sync.py
@@ -422,3 +422,31 @@
     for name in network.hosts:
         assert network.caches[name].objects == {"a": {"state": "draining"}}
     await running
+
+
+@pytest.mark.parametrize("spec", [{"n": 10**30}, {"text": "x" * 5_000, "n": 10**30}])
+async def test_change_that_cannot_be_sent_does_not_end_the_updates(spec):
+    network = FakeNetwork(hosts(4))
+    running = asyncio.ensure_future(network.run(1.5))
+    await asyncio.sleep(0.2)
+    network.put("odd", spec)
+    await asyncio.sleep(0.3)
+    network.put("a", {"state": "ready"})
+    await asyncio.sleep(0.7)
+    for name in network.hosts:
+        assert network.caches[name].objects == {"odd": spec, "a": {"state": "ready"}}
+    await running
+
+
+async def test_host_that_finds_the_others_requests_updates_at_once():
+    network = FakeNetwork(hosts(4), wait=WATCH_WAIT)
+    name = non_readers(network.hosts)[0]
+    network.syncs[name].set_hosts([name])
+    network.caches[choose_readers(network.hosts)[0]].version = 2
+    running = asyncio.ensure_future(network.run(1.0))
+    await asyncio.sleep(0.3)
+    assert network.age(name) is not None
+    network.syncs[name].set_hosts(network.hosts)
+    await asyncio.sleep(0.3)
+    assert network.age(name) is None
+    await running
