--- a/src/amaranthferry/gateway/application.py
+++ b/src/amaranthferry/gateway/application.py
@@ -33,6 +33,7 @@
 from .edge import Edge, Receive, Scope, Send
 from .exchange import RoutedExchange
 from .freshness import Freshness, boot_time
+from .joining import JoiningHosts
 from .listener import Listener
 from .log_events import LogEvent
 from .performer import Performer
@@ -49,8 +50,6 @@
 WATCH_WAIT: Seconds = 6.0
 #: Age at which the state is confirmed, as a fraction of the bound on stale keys.
 CONFIRM_FRACTION = 0.24
-#: Time after the start in which the hosts listed in the store count as members.
-JOIN_PERIOD: Seconds = 2.0
 #: Time that a request waits for a starting host to load its state.
 INITIALIZATION_TIMEOUT: Seconds = 1.0
 #: Time until the load balancer has seen two failed readiness checks; new requests
@@ -102,10 +101,11 @@
             has_peers=self._has_found_members,
         )
         self._members: MembershipAgent | None = None
-        self._listed_hosts: dict[HostId, str] = {}
+        self._joining = JoiningHosts(boot_time())
+        self._found_members: tuple[dict[HostId, str], tuple[HostId, ...]] = ({}, ())
         self._has_host_list = False
         self._found: dict[HostId, str] = {}
-        self._started_at = self._joined_at = boot_time()
+        self._started_at = boot_time()
         self._initialized = asyncio.Event()
         self._keys_current = False
         self._roles: tuple[dict[ShardId, HostId], tuple[ShardId, ...]] = ({}, ())
@@ -177,14 +177,14 @@
             platform_url=self.settings.store,
             peer_key=key,
         )
-        self._joined_at = self.clock()
+        self._joining.restart(self.clock())
         self.peers = PeerNetwork(
             cfg, on_message=self._receive, on_lost=self._handle_peer_lost
         )
         await self.peers.start()
         self._members = MembershipAgent(cfg, on_members=self._set_members)
         await self._members.start()
-        self._members.set_candidates(tuple(self._listed_hosts.values()))
+        self._members.set_candidates(tuple(self._joining.listed.values()))
 
     def _has_found_members(self) -> bool:
         return self._members is not None and len(self._members.members) > 1
@@ -304,14 +304,17 @@
     def _handle_peer_lost(self, host: HostId) -> None:
         _log.info(LogEvent.PEER_LOST, peer=host)
         self.handle(PeerLost(now=self.clock(), host=host))
+        if self._joining.record_unreachable(host, self.clock()):
+            self._set_hosts(*self._found_members)
 
     def _set_listed_hosts(self, hosts: dict[HostId, str]) -> None:
         """Set the hosts listed in the store; they count as members at the start."""
-        self._listed_hosts, self._has_host_list = hosts, True
+        self._joining.set_listed(hosts)
+        self._has_host_list = True
         if self._members is not None:
             self._members.set_candidates(tuple(hosts.values()))
         if not self._initialized.is_set():
-            self._set_hosts({}, ())
+            self._set_hosts(*self._found_members)
 
     def _set_members(self, members: tuple[Member, ...]) -> None:
         member_addresses = {member.host: member.address for member in members}
@@ -322,12 +325,8 @@
         self, member_addresses: dict[HostId, str], draining: tuple[HostId, ...]
     ) -> None:
         assert self.peers is not None
-        # Until membership has found the other hosts, a host that regarded itself as
-        # the only one would coordinate every shard.
-        joining = self.clock() - self._joined_at < JOIN_PERIOD
-        addresses = (
-            {**self._listed_hosts, **member_addresses} if joining else member_addresses
-        )
+        self._found_members = (member_addresses, draining)
+        addresses = self._joining.live(member_addresses, self.clock())
         self.peers.set_addresses(addresses)
         hosts = tuple(sorted({self.settings.host, *addresses}))
         changed = len(hosts) != len(self.state.hosts)
@@ -380,7 +379,7 @@
 
     def _budget_limits(self) -> BudgetLimits:
         bounds = self.settings.bounds
-        hosts = max(len(self.state.hosts), len(self._listed_hosts) + 1)
+        hosts = max(len(self.state.hosts), len(self._joining.listed) + 1)
         extra = bounds.retry_extra / hosts
         return BudgetLimits(
             repeat_ratio=bounds.retry_ratio * RATIO_FRACTION,
@@ -395,6 +394,8 @@
         while True:
             await asyncio.sleep(TICK_PERIOD)
             self.servers.expire()
+            if self.peers is not None and self._joining.has_just_ended(self.clock()):
+                self._set_hosts(*self._found_members)
             self._log_changes()
             self.handle(Ticked(now=self.clock()))
 
