--- a/src/amaranthferry/soak/run.py
+++ b/src/amaranthferry/soak/run.py
@@ -116,7 +116,10 @@
             await self._check_recovery()
             callers.cancel()
             sampler.cancel()
-            await asyncio.gather(*self._tasks, return_exceptions=True)
+            results = await asyncio.gather(*self._tasks, return_exceptions=True)
+        for result in results:
+            if isinstance(result, Exception):
+                raise result
         return self.record
 
     def _now(self) -> Seconds:
--- a/src/amaranthferry/standins/deployment.py
+++ b/src/amaranthferry/standins/deployment.py
@@ -129,7 +129,14 @@
     }
 
 
-def settings_text(name: str, *, store: str, addresses: list[str]) -> str:
+def settings_text(
+    name: str,
+    *,
+    store: str,
+    addresses: list[str],
+    revoke: Seconds = REVOCATION_BOUND,
+    grace: Seconds = GRACE_TIME,
+) -> str:
     """Return the settings file of a host with four addresses on one IP address."""
     ip = addresses[0].partition(":")[0]
     frontend, readiness, peers, metrics = (a.partition(":")[2] for a in addresses)
@@ -142,9 +149,9 @@
         "portRange": f"{peers},{metrics}",
         "platform.address": store,
         "heartbeatMs": int(HEARTBEAT * 1_000),
-        "bounds.revokeMs": int(REVOCATION_BOUND * 1_000),
+        "bounds.revokeMs": int(revoke * 1_000),
         "bounds.strictRevoke": "true",
-        "bounds.graceS": GRACE_TIME,
+        "bounds.graceS": grace,
         "bounds.retryBudgetExtra": 100,
     }
     return "".join(f"{key}={value}\n" for key, value in lines.items())
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -8,6 +8,7 @@
 from amaranthferry.embedded import free_address
 from amaranthferry.gateway.application import Gateway
 from amaranthferry.platform.settings import HostSettings
+from amaranthferry.standins.deployment import settings_text
 from amaranthferry.standins.metadata import MetadataStore
 from amaranthferry.standins.routed import RoutedServer
 from amaranthferry.standins.serving import serve
@@ -110,24 +111,6 @@
     }
 
 
-def settings_text(name, store, *, ip, frontend, readiness, peers, metrics, **bounds):
-    lines = {
-        "nodeName": name,
-        "zone": "zone-a",
-        "ip": ip,
-        "listen.frontend": f"{ip}:{frontend}",
-        "listen.readiness": f"{ip}:{readiness}",
-        "portRange": f"{peers},{metrics}",
-        "platform.address": store,
-        "heartbeatMs": 1000,
-        "bounds.revokeMs": bounds.get("revoke", 5000),
-        "bounds.strictRevoke": "true",
-        "bounds.graceS": bounds.get("grace", 8),
-        "bounds.retryBudgetExtra": 100,
-    }
-    return "".join(f"{key}={value}\n" for key, value in lines.items())
-
-
 class Fleet:
     """Run a store, servers and entry hosts on loopback."""
 
@@ -163,26 +146,15 @@
 
     async def add_host(self, name, **bounds):
         addresses = [free_address() for _ in range(4)]
-        ip = addresses[0].partition(":")[0]
-        frontend, readiness, peers, metrics = (
-            address.partition(":")[2] for address in addresses
-        )
         text = settings_text(
-            name,
-            self.store_address,
-            ip=ip,
-            frontend=frontend,
-            readiness=readiness,
-            peers=peers,
-            metrics=metrics,
-            **bounds,
+            name, store=self.store_address, addresses=addresses, **bounds
         )
         app = Gateway.from_config(HostSettings.from_text(text))
         await app.start()
         self._stack.push_async_callback(app.stop)
         self.hosts.append(app)
-        self.urls.append(f"http://{ip}:{frontend}")
-        self.metrics.append(f"http://{ip}:{metrics}/metrics")
+        self.urls.append(f"http://{addresses[0]}")
+        self.metrics.append(f"http://{addresses[3]}/metrics")
         return app
 
     def servers_that_ran(self, attempt):
--- a/tests/gateway/test_application.py
+++ b/tests/gateway/test_application.py
@@ -206,7 +206,7 @@
 
 
 async def test_keyed_requests_are_refused_while_keys_may_be_stale():
-    async with fleet(revoke=1500) as (system, caller):
+    async with fleet(revoke=1.5) as (system, caller):
         assert (await caller.send("GET", "/look/x"))[1] == 200
         system.store.fault = StoreFault.BUSY
         await until(
