--- a/src/amaranthferry/gateway/broadcast.py
+++ b/src/amaranthferry/gateway/broadcast.py
@@ -1,7 +1,7 @@
 """Distribute an update to all hosts over a tree, with its changes compressed.
 
-Hosts have slow links: a reader that sent a configuration of 8 KB to 194 hosts itself
-would occupy a link of 10 Mbit/s for longer than its peers wait for its replies.
+A reader that sent a large update to every host itself would occupy a slow link for
+longer than its peers wait for its replies.
 """
 
 import zlib
@@ -68,7 +68,10 @@
     try:
         data = inflater.decompress(update.packed, MAX_UNPACKED_BYTES)
         if not inflater.eof:
-            return None
-        return _decoder.decode(data)
-    except (zlib.error, msgspec.DecodeError):
-        return None
+            problem = "The changes are truncated or too large."
+        else:
+            return _decoder.decode(data)
+    except (zlib.error, msgspec.DecodeError) as exc:
+        problem = str(exc)
+    _log.warning(LogEvent.UPDATE_UNREADABLE, kind=update.kind, problem=problem)
+    return None
--- a/src/amaranthferry/gateway/log_events.py
+++ b/src/amaranthferry/gateway/log_events.py
@@ -40,6 +40,7 @@
     READERS_CHANGED = "readers.changed"  # kind, readers
     READER_SILENT = "reader.silent"  # kind, reader
     UPDATE_NOT_SENDABLE = "update.not_sendable"  # kind, problem
+    UPDATE_UNREADABLE = "update.unreadable"  # kind, problem
     READER_STOOD_IN = "reader.stood_in"  # kind, readers
     PEERS_CHANGED = "peers.changed"  # hosts, draining
     PEER_LOST = "peer.lost"  # peer
