Log how an answer was framed and how its connection ended

request.answered and dispatch.broken now carry framing, closed_by_peer and the bytes of an incomplete event; amaranthferry_runs_total, which was declared and never counted, counts dispatches by route, end and framing. The stand-in servers learn answers with neither a length nor chunks, and resets in the middle of a stream. What is relayed does not change.

--- a/src/amaranthferry/gateway/decisions.py
+++ b/src/amaranthferry/gateway/decisions.py
@@ -7,7 +7,8 @@
 from ..coordinator import Coordinator
 from ..messages import Message, PermitGrant, PermitRefusal
 from ..state import HostState
-from ..types import HostId, Seconds, ServerId, ShardId
+from ..types import HostId, Seconds, ShardId
+from .dispatching import Dispatch
 from .exchange import RoutedExchange
 from .log_events import LogEvent
 
@@ -66,7 +67,7 @@
     return state.fallbacks.get(shard) or state.coordinators.get(shard)
 
 
-def log_answer(exchange: RoutedExchange, server: ServerId, now: Seconds) -> None:
+def log_answer(exchange: RoutedExchange, dispatch: Dispatch, now: Seconds) -> None:
     """Log an answered request."""
     call = exchange.call
     first = exchange.first_byte
@@ -74,11 +75,12 @@
         LogEvent.REQUEST_ANSWERED,
         request_id=call.request_id,
         route=call.route.name,
-        server=server,
+        server=dispatch.server,
         runs=exchange.dispatches,
         prompt_tokens=call.params.prompt_tokens,
         tokens=exchange.tokens,
         first_byte=None if first is None else round(first - call.arrived, 4),
         age=round(now - call.arrived, 4),
         caller_gone=exchange.caller_disconnected,
+        **dispatch.answer_details(),
     )
--- a/src/amaranthferry/gateway/dispatching.py
+++ b/src/amaranthferry/gateway/dispatching.py
@@ -17,9 +17,14 @@
     FirstTokenSeen,
     TokensSeen,
 )
-from ..http_connection import AnswerStart, BrokenAnswer, HttpConnection
+from ..http_connection import (
+    AnswerFraming,
+    AnswerStart,
+    BrokenAnswer,
+    HttpConnection,
+)
 from ..platform import headers
-from ..types import RequestId, Seconds, Tokens, WorkspaceId
+from ..types import RequestId, Seconds, ServerId, Tokens, WorkspaceId
 from .exchange import RoutedExchange
 from .log_events import LogEvent
 from .sse import EventReader
@@ -65,6 +70,7 @@
     COMPLETE = "complete"
     NOT_RUN = "not_run"
     BROKEN = "broken"
+    UNREACHED = "unreached"
 
 
 class Dispatch:
@@ -87,6 +93,27 @@
         self._reported_at: Seconds = 0.0
         self._failed = False
         self._conn: HttpConnection | None = None
+        self.framing: AnswerFraming | None = None
+        self._reader: EventReader | None = None
+        self._end: _AnswerEnd | None = None
+
+    @property
+    def server(self) -> ServerId:
+        """Return the server of this dispatch."""
+        return self._server.name
+
+    @property
+    def end(self) -> str:
+        """Return how the dispatch ended, for metrics."""
+        return "cancelled" if self._end is None else self._end.value
+
+    def answer_details(self) -> dict[str, object]:
+        """Return what decides whether the answer is complete, for log lines."""
+        return {
+            "framing": self.framing,
+            "closed_by_peer": self._conn is not None and self._conn.closed_by_peer,
+            "partial_event": self._reader.partial_size if self._reader else 0,
+        }
 
     async def run(self) -> None:
         """Send the request, relay its answer and report how it ended."""
@@ -96,6 +123,7 @@
             )
         except (OSError, TimeoutError) as exc:
             self._log(LogEvent.DISPATCH_UNREACHED, problem=str(exc) or "timeout")
+            self._end = _AnswerEnd.UNREACHED
             self._report(self._refused(by_server=False))
             return
         try:
@@ -110,6 +138,7 @@
         self._report_end(end)
 
     def _report_end(self, end: _AnswerEnd) -> None:
+        self._end = end
         request_id = self._call.request_id
         if end is _AnswerEnd.NOT_RUN:
             self._report(self._refused(by_server=True))
@@ -150,7 +179,11 @@
                 start = await conn.start()
             return await self._receive_answer(conn, start)
         except (BrokenAnswer, TimeoutError) as exc:
-            self._log(LogEvent.DISPATCH_BROKEN, problem=str(exc) or "timeout")
+            self._log(
+                LogEvent.DISPATCH_BROKEN,
+                problem=str(exc) or "timeout",
+                **self.answer_details(),
+            )
             return _AnswerEnd.BROKEN
 
     def _start_timeout(self) -> Seconds:
@@ -168,6 +201,7 @@
     async def _receive_answer(
         self, conn: HttpConnection, start: AnswerStart
     ) -> _AnswerEnd:
+        self.framing = start.framing
         origin = headers.read_answer_origin(start.fields(), start.status)
         if origin.not_executed:
             self._log(LogEvent.DISPATCH_NOT_RUN, status=start.status)
@@ -205,6 +239,7 @@
         """Relay a stream; a resumable one only in complete events."""
         self._exchange.begin(start)
         reader = EventReader(complete_only=self._call.route.resumable)
+        self._reader = reader
         while True:
             async with asyncio.timeout(self._gap_timeout()):
                 chunk = await conn.chunk()
--- a/src/amaranthferry/gateway/log_events.py
+++ b/src/amaranthferry/gateway/log_events.py
@@ -54,11 +54,13 @@
     # Decisions about requests.
     REQUEST_REFUSED = "request.refused"  # attempt, code, status, version, belief_age
     REQUEST_DISPATCHED = "request.dispatched"  # request_id, route, server, run, waited
-    REQUEST_ANSWERED = "request.answered"  # request_id, route, server, runs, ages
+    # request_id, route, server, runs, ages, framing, closed_by_peer, partial_event
+    REQUEST_ANSWERED = "request.answered"
     REQUEST_SETTLED = "request.settled"  # request_id, outcome, reason, retry_after
     DISPATCH_UNREACHED = "dispatch.unreached"  # request_id, server, problem
     DISPATCH_NOT_RUN = "dispatch.not_run"  # request_id, server, status
     DISPATCH_FAILED = "dispatch.failed"  # request_id, server, status
-    DISPATCH_BROKEN = "dispatch.broken"  # request_id, server, problem
+    # request_id, server, problem, framing, closed_by_peer, partial_event
+    DISPATCH_BROKEN = "dispatch.broken"
     PERMIT_GRANTED = "permit.granted"  # request_id, asker, server, queue, running
     PERMIT_REFUSED = "permit.refused"  # request_id, asker, reason, queue, slots, known
--- a/src/amaranthferry/gateway/performer.py
+++ b/src/amaranthferry/gateway/performer.py
@@ -116,20 +116,23 @@
     dispatch = dispatching.Dispatch(exchange, server, app.handle, clock=app.clock)
     exchange.task = app.spawn(dispatch.run())
     exchange.task.add_done_callback(
-        lambda _: _finish_exchange(performer, exchange, effect)
+        lambda _: _finish_dispatch(performer, exchange, dispatch)
     )
 
 
-def _finish_exchange(
-    performer: Performer, exchange: RoutedExchange, effect: Dispatch
+def _finish_dispatch(
+    performer: Performer, exchange: RoutedExchange, dispatch: dispatching.Dispatch
 ) -> None:
-    """Close the exchange unless the reducer has dispatched it again."""
+    """Count the dispatch; close the exchange unless it has been dispatched again."""
     app = performer.app
-    if effect.request_id in app.state.requests or (
-        app.exchanges.get(effect.request_id) is not exchange
+    request_id = exchange.call.request_id
+    route = exchange.call.route.name
+    app.telemetry.dispatches.add(route, dispatch.end, dispatch.framing or "")
+    if request_id in app.state.requests or (
+        app.exchanges.get(request_id) is not exchange
     ):
         return
-    log_answer(exchange, effect.server, app.clock())
+    log_answer(exchange, dispatch, app.clock())
     _record_answer(app, exchange)
     app.close(exchange)
 
--- a/src/amaranthferry/gateway/sse.py
+++ b/src/amaranthferry/gateway/sse.py
@@ -17,6 +17,11 @@
         """Return the bytes of a withheld partial event."""
         return self._buffer if self._complete_only else b""
 
+    @property
+    def partial_size(self) -> int:
+        """Return the number of bytes received since the end of the last event."""
+        return len(self._buffer)
+
     def feed(self, chunk: bytes) -> bytes:
         """Process bytes and return those that may be relayed."""
         data = self._buffer + chunk
--- a/src/amaranthferry/gateway/telemetry.py
+++ b/src/amaranthferry/gateway/telemetry.py
@@ -83,7 +83,9 @@
         self.requests = Counter(
             "requests", "Requests by route and end.", ("route", "outcome", "reason")
         )
-        self.dispatches = Counter("runs", "Dispatches by end.", ("route", "end"))
+        self.dispatches = Counter(
+            "runs", "Dispatches by end.", ("route", "end", "framing")
+        )
         self.decisions = Counter("decisions", "Counts of the reducer.", ("name",))
         self.first_byte = Histogram(
             "first_byte_seconds", "From arrival to the first byte.", ("route",)
--- a/src/amaranthferry/http_connection.py
+++ b/src/amaranthferry/http_connection.py
@@ -4,6 +4,7 @@
 import socket
 from collections import deque
 from collections.abc import Iterable
+from enum import StrEnum
 from typing import Self
 
 import httptools
@@ -21,11 +22,20 @@
     """Report that an answer is truncated or is not valid HTTP; internal."""
 
 
+class AnswerFraming(StrEnum):
+    """Define what marks the end of an answer's body."""
+
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CONNECTION_END = "connection_end"
+
+
 class AnswerStart(msgspec.Struct, frozen=True):
     """Describe an answer's status and headers; header names are in lower case."""
 
     status: int
     headers: tuple[tuple[str, str], ...]
+    framing: AnswerFraming = AnswerFraming.LENGTH
 
     def fields(self) -> dict[str, str]:
         """Return the headers by name, with the last value of a repeated one."""
@@ -48,6 +58,8 @@
         self._framed = False
         self._error: Exception | None = None
         self._keep_alive = False
+        #: Whether the peer has closed the connection in order, not by a reset.
+        self.closed_by_peer = False
 
     @classmethod
     async def open(cls, address: str, *, timeout: Seconds) -> Self:
@@ -82,6 +94,10 @@
             milliseconds = int(UNACKNOWLEDGED_TIMEOUT * 1_000)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
 
+    def eof_received(self) -> None:
+        """Record the orderly end of the connection, which is then closed."""
+        self.closed_by_peer = True
+
     def connection_lost(self, exc: Exception | None) -> None:
         """End the answer; without a length, the connection's end completes it."""
         self._transport = None
@@ -192,11 +208,19 @@
         assert self._parser is not None
         if self._complete:
             return
-        names = {name for name, _ in self._headers}
-        self._framed = bool(names & {"content-length", "transfer-encoding"})
+        framing = self._framing()
+        self._framed = framing is not AnswerFraming.CONNECTION_END
         self._keep_alive = self._parser.should_keep_alive() and self._framed
         status = self._parser.get_status_code()
-        self._start = AnswerStart(status, tuple(self._headers))
+        self._start = AnswerStart(status, tuple(self._headers), framing)
+
+    def _framing(self) -> AnswerFraming:
+        names = {name for name, _ in self._headers}
+        if "transfer-encoding" in names:
+            return AnswerFraming.CHUNKED
+        if "content-length" in names:
+            return AnswerFraming.LENGTH
+        return AnswerFraming.CONNECTION_END
 
     def on_body(self, body: bytes) -> None:
         """Handle a chunk of the body from the parser."""
--- a/src/amaranthferry/standins/routed.py
+++ b/src/amaranthferry/standins/routed.py
@@ -1,7 +1,7 @@
 """Stand in for the backend servers of routed requests and their faults."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from enum import StrEnum
 
 import msgspec
@@ -10,7 +10,7 @@
 from starlette.types import Receive, Scope, Send
 
 from ..types import Seconds
-from .serving import drop_connection
+from .serving import UnframedResponse, drop_connection, reset_connection
 
 HANG_DURATION: Seconds = 3_600.0
 
@@ -23,11 +23,18 @@
     ERROR = "error"
     RESET_AFTER_EXECUTION = "reset_after_run"
     CUT_STREAM = "cut_stream"
+    RESET_STREAM = "reset_stream"
     NO_ANSWER = "mute"
     UNSIGNED = "unsigned"
     WRONG_ATTEMPT_ID = "crossed"
 
 
+_CUT_FAULTS = {
+    ServerFault.CUT_STREAM: drop_connection,
+    ServerFault.RESET_STREAM: reset_connection,
+}
+
+
 class ReceivedRequest(msgspec.Struct, frozen=True):
     """Represent a request as the server received it."""
 
@@ -49,6 +56,8 @@
         self.event_interval = event_interval
         self.processing_time: Seconds = 0.0
         self.fault = ServerFault.NONE
+        #: Whether answers have neither a length nor chunks.
+        self.unframed = False
         self.executed: list[ReceivedRequest] = []
         self.cancelled: list[str] = []
         self.on_execution: Callable[[str], None] = lambda attempt: None
@@ -60,7 +69,7 @@
             response = await self._answer(request)
             await response(scope, receive, send)
 
-    async def _answer(self, request: Request) -> Response:
+    async def _answer(self, request: Request) -> Response | UnframedResponse:
         expected = request.headers.get("x-amaranthferry-expect-instance")
         attempt = request.headers.get("x-amaranthferry-attempt-id", "")
         if expected and expected != self.name:
@@ -92,7 +101,7 @@
             return Response(status_code=500)
         return self._response(request, attempt)
 
-    def _response(self, request: Request, attempt: str) -> Response:
+    def _response(self, request: Request, attempt: str) -> Response | UnframedResponse:
         attempt_id = (
             "another" if self.fault is ServerFault.WRONG_ATTEMPT_ID else attempt
         )
@@ -101,18 +110,30 @@
             headers["X-Amaranthferry-Server-Signature"] = f"signed-{self.name}"
         if self.fault is ServerFault.ERROR:
             return Response(b"failed", status_code=500, headers=headers)
+        if self.unframed:
+            body = self._body if request.method == "GET" else self._stream
+            return UnframedResponse(body(request), headers)
         if request.method == "GET":
             return Response(self.name.encode(), headers=headers)
         return StreamingResponse(
             self._stream(request), headers=headers, media_type="text/event-stream"
         )
 
-    async def _stream(self, request: Request):  # type: ignore[no-untyped-def]
+    async def _body(self, request: Request) -> AsyncIterator[bytes]:
+        name = self.name.encode()
+        yield name[:1]
+        if self.fault is ServerFault.RESET_STREAM:
+            reset_connection(request)
+            return
+        yield name[1:]
+
+    async def _stream(self, request: Request) -> AsyncIterator[bytes]:
         first = int(request.headers.get("last-event-id", "-1")) + 1
         for number in range(first, self.event_count):
-            if self.fault is ServerFault.CUT_STREAM and number == first + 1:
+            cut = self.fault in _CUT_FAULTS and number == first + 1
+            if cut:
                 yield b"id: %d\ndata: ha" % number
-                drop_connection(request)
+                _CUT_FAULTS[self.fault](request)
                 return
             yield b"id: %d\ndata: %d\n\n" % (number, number)
             await asyncio.sleep(self.event_interval)
--- a/src/amaranthferry/standins/serving.py
+++ b/src/amaranthferry/standins/serving.py
@@ -1,7 +1,9 @@
 """Serve an ASGI application on loopback inside the running event loop."""
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable, MutableMapping
+import socket
+import struct
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping, MutableMapping
 from contextlib import asynccontextmanager
 from typing import Any
 
@@ -31,6 +33,35 @@
     request.scope["state"]["transport"].abort()
 
 
+def reset_connection(request: Request) -> None:
+    """Reset the connection that carries a request."""
+    transport = request.scope["state"]["transport"]
+    linger = struct.pack("ii", 1, 0)
+    transport.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, linger
+    )
+    transport.abort()
+
+
+class UnframedResponse:
+    """Send an answer with neither a length nor chunks; its connection's end ends it."""
+
+    def __init__(self, body: AsyncIterator[bytes], headers: Mapping[str, str]) -> None:
+        self._body = body
+        self._headers = headers
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Write the answer to the transport, past the server's framing."""
+        transport = scope["state"]["transport"]
+        lines = ["HTTP/1.1 200 OK"]
+        lines += [f"{name}: {value}" for name, value in self._headers.items()]
+        transport.write("\r\n".join([*lines, "", ""]).encode("latin-1"))
+        async for chunk in self._body:
+            transport.write(chunk)
+        transport.close()
+        await _wait_for_disconnect(receive)
+
+
 class StallableApp:
     """Wrap an application so that its open connections can be stalled permanently."""
 
--- a/tests/gateway/test_application.py
+++ b/tests/gateway/test_application.py
@@ -1,10 +1,11 @@
 import asyncio
+import contextlib
 
 import aiohttp
 import pytest
 import structlog
 
-from amaranthferry.gateway import dispatching
+from amaranthferry.gateway import decisions, dispatching
 from amaranthferry.standins.metadata import StoreFault
 from amaranthferry.standins.routed import ServerFault
 
@@ -294,3 +295,30 @@
     (line,) = [line.kwargs for line in log.calls if line.args == ("dispatch.failed",)]
     assert (line["request_id"], line["server"]) == (attempt, "ledger-0")
     assert line["status"] == 500
+
+
+@pytest.mark.parametrize(
+    ("fault", "event", "closed_by_peer"),
+    [
+        (ServerFault.NONE, "request.answered", True),
+        (ServerFault.RESET_STREAM, "dispatch.broken", False),
+    ],
+)
+async def test_end_of_an_unframed_answer_is_logged_and_counted(
+    monkeypatch, fault, event, closed_by_peer
+):
+    log = structlog.testing.CapturingLogger()
+    monkeypatch.setattr(dispatching, "_log", log)
+    monkeypatch.setattr(decisions, "_log", log)
+    async with fleet(engines=1) as (system, caller):
+        engine = system.servers["engine-0"]
+        engine.unframed, engine.fault = True, fault
+        with contextlib.suppress(aiohttp.ClientPayloadError):
+            await caller.send_prompt("/review/one")
+        (line,) = [line.kwargs for line in log.calls if line.args == (event,)]
+        counts = system.hosts[0].telemetry.dispatches.values
+    assert line["framing"] == "connection_end"
+    assert line["closed_by_peer"] is closed_by_peer
+    assert (line["partial_event"] > 0) is (fault is ServerFault.RESET_STREAM)
+    end = "broken" if fault is ServerFault.RESET_STREAM else "complete"
+    assert counts == {("review", end, "connection_end"): 1}
