Take a stream that ends inside an event as broken off

Cause: the end of the transport was taken for the end of the answer. An answer with neither a length nor chunks counted as complete whenever its connection ended without an error, and a stream counted as complete whenever its framing ended, whatever its last bytes were: the relay even passed half an event on before it finished the response.

A stream is now complete only if it ends outside an event, in any framing; else the dispatch is broken, and the stream is resumed where its route lets it, or the caller's connection is closed without a last chunk. An answer that ends with its connection is complete only by an orderly end seen from the server: connection_lost, which an abort of our own also calls without an error, completes nothing any more. Line ends are read as the event stream format defines them, so that a sound stream with CRLF isn't taken for a cut one; answers that are no event stream (4xx, another content type) are judged by their framing alone.

--- a/src/amaranthferry/gateway/dispatching.py
+++ b/src/amaranthferry/gateway/dispatching.py
@@ -37,7 +37,9 @@
 START_TIMEOUT_OBJECTIVES = 1.5
 #: Time without an event after which a stream is resumed on another server.
 STREAM_GAP_TIMEOUT: Seconds = 1.5
+MIN_REDIRECT = 300
 MIN_SERVER_ERROR = 500
+EVENT_STREAM = "text/event-stream"
 
 Report = Callable[[Event], None]
 _log = structlog.get_logger(__name__)
@@ -208,12 +210,12 @@
             return _AnswerEnd.NOT_RUN
         if origin.attempt and origin.attempt != self._call.params.attempt:
             raise BrokenAnswer("The answer carries the attempt id of another request.")
-        if start.status < 300 and not origin.signed:
+        if start.status < MIN_REDIRECT and not origin.signed:
             raise BrokenAnswer("The answer has no server signature.")
         self._failed = start.status >= MIN_SERVER_ERROR
         if self._failed:
             self._log(LogEvent.DISPATCH_FAILED, status=start.status)
-        if self._call.streaming and not self._failed:
+        if self._call.streaming and _is_event_stream(start):
             return await self._relay_stream(conn, start)
         return await self._relay_buffered(conn, start)
 
@@ -252,8 +254,10 @@
             )
             if passed:
                 await self._exchange.feed(passed)
-        if reader.partial:
-            await self._exchange.feed(reader.partial)
+        if reader.is_inside_event:
+            raise BrokenAnswer("The stream ended inside an event.")
+        if rest := reader.finish():
+            await self._exchange.feed(rest)
         self._exchange.finish()
         return _AnswerEnd.COMPLETE
 
@@ -293,3 +297,8 @@
             run=self._exchange.dispatches,
             **fields,
         )
+
+
+def _is_event_stream(start: AnswerStart) -> bool:
+    kind = start.fields().get("content-type", EVENT_STREAM)
+    return start.status < MIN_REDIRECT and kind.startswith(EVENT_STREAM)
--- a/src/amaranthferry/gateway/sse.py
+++ b/src/amaranthferry/gateway/sse.py
@@ -1,7 +1,12 @@
 """Split a stream of server-sent events and track the last event id."""
 
+import re
+
 _EVENT_END = b"\n\n"
+#: Two line ends of any kind; atomic, so that CRLF isn't matched as two of them.
+_BLANK_LINE = re.compile(rb"(?>\r\n|\n|\r){2}")
 _ID = b"id:"
+_COMMENT = b":"
 
 
 class EventReader:
@@ -12,27 +17,43 @@
         self._buffer = b""
         self.last_event_id = ""
 
-    @property
-    def partial(self) -> bytes:
-        """Return the bytes of a withheld partial event."""
-        return self._buffer if self._complete_only else b""
-
     @property
     def partial_size(self) -> int:
         """Return the number of bytes received since the end of the last event."""
         return len(self._buffer)
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Return whether the bytes since the last event begin another one."""
+        lines = self._buffer.splitlines(keepends=True)
+        return any(
+            not line.endswith((b"\n", b"\r"))
+            or bool(line.strip() and not line.startswith(_COMMENT))
+            for line in lines
+        )
+
     def feed(self, chunk: bytes) -> bytes:
         """Process bytes and return those that may be relayed."""
         data = self._buffer + chunk
-        end = data.rfind(_EVENT_END)
-        cut = 0 if end < 0 else end + len(_EVENT_END)
+        cut = _end_of_events(data)
         self._record_last_id(data[:cut])
         self._buffer = data[cut:]
         return data[:cut] if self._complete_only else chunk
 
+    def finish(self) -> bytes:
+        """Return the withheld bytes after the last event of a complete stream."""
+        return self._buffer if self._complete_only else b""
+
     def _record_last_id(self, events: bytes) -> None:
-        for line in reversed(events.split(b"\n")):
+        for line in reversed(events.splitlines()):
             if line.startswith(_ID):
                 self.last_event_id = line[len(_ID) :].strip().decode("latin-1")
                 return
+
+
+def _end_of_events(data: bytes) -> int:
+    """Return the index after the last blank line, or 0."""
+    if b"\r" not in data:
+        end = data.rfind(_EVENT_END)
+        return 0 if end < 0 else end + len(_EVENT_END)
+    return max((match.end() for match in _BLANK_LINE.finditer(data)), default=0)
--- a/src/amaranthferry/http_connection.py
+++ b/src/amaranthferry/http_connection.py
@@ -95,15 +95,15 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
 
     def eof_received(self) -> None:
-        """Record the orderly end of the connection, which is then closed."""
+        """Complete an answer that has no other end than its connection's orderly end."""
         self.closed_by_peer = True
+        if self._start is not None and not self._framed:
+            self._complete = True
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """End the answer; without a length, the connection's end completes it."""
+        """Fail an answer that is not complete."""
         self._transport = None
-        if self._start is not None and not self._framed and exc is None:
-            self._complete = True
-        elif not self._complete and self._error is None:
+        if not self._complete and self._error is None:
             self._error = BrokenAnswer(
                 "The connection was closed before the answer was complete."
             )
--- a/src/amaranthferry/standins/routed.py
+++ b/src/amaranthferry/standins/routed.py
@@ -6,7 +6,7 @@
 
 import msgspec
 from starlette.requests import Request
-from starlette.responses import Response, StreamingResponse
+from starlette.responses import JSONResponse, Response, StreamingResponse
 from starlette.types import Receive, Scope, Send
 
 from ..types import Seconds
@@ -21,6 +21,7 @@
     NONE = "none"
     FULL = "full"
     ERROR = "error"
+    REJECTED = "rejected"
     RESET_AFTER_EXECUTION = "reset_after_run"
     CUT_STREAM = "cut_stream"
     RESET_STREAM = "reset_stream"
@@ -113,6 +114,8 @@
             headers["X-Amaranthferry-Server-Signature"] = f"signed-{self.name}"
         if self.fault is ServerFault.ERROR:
             return Response(b"failed", status_code=500, headers=headers)
+        if self.fault is ServerFault.REJECTED:
+            return JSONResponse({"error": "no"}, status_code=422, headers=headers)
         if self.unframed:
             body = self._body if request.method == "GET" else self._stream
             return UnframedResponse(body(request), headers)
--- a/tests/gateway/test_application.py
+++ b/tests/gateway/test_application.py
@@ -131,7 +131,6 @@
         assert len(system.servers_that_ran("attempt-1")) == 1
 
 
-@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt: stream-ends-inside-an-event")
 @pytest.mark.parametrize("fault", [ServerFault.CUT_STREAM, ServerFault.END_IN_EVENT])
 async def test_stream_that_ends_inside_an_event_is_not_relayed_as_complete(fault):
     async with fleet(engines=1) as (system, caller):
@@ -143,7 +142,6 @@
         assert system.servers_that_ran("attempt-1") == ["engine-0"]
 
 
-@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt: stream-ends-inside-an-event")
 @pytest.mark.parametrize("fault", [ServerFault.CUT_STREAM, ServerFault.END_IN_EVENT])
 async def test_stream_that_ends_inside_an_event_is_resumed(fault):
     async with fleet() as (system, caller):
@@ -158,6 +156,15 @@
         )
 
 
+async def test_rejection_on_a_streaming_route_is_relayed():
+    async with fleet() as (system, caller):
+        for server in system.servers.values():
+            server.fault = ServerFault.REJECTED
+        attempt, status, _, body = await caller.send_prompt()
+        assert (status, body) == (422, b'{"error":"no"}')
+        assert len(system.servers_that_ran(attempt)) == 1
+
+
 async def test_unframed_answers_are_relayed_whole():
     async with fleet() as (system, caller):
         for server in system.servers.values():
