Fail an answer of the product's interface whose connection was reset

- a plain service's answer with neither a length nor chunks, reset after its first bytes, was reported as DispatchFinished: the client library ends such a body in the same way whether its connection was closed or reset;
- an engine's stream cut inside an event was complete if the text of that event held the end marker (data: [DONE]).

An answer without framing is now complete only if its connection ended in order, which is known from the connection itself; the end marker counts only as a line of its own.

--- a/src/amaranthferry/engine.py
+++ b/src/amaranthferry/engine.py
@@ -23,6 +23,7 @@
 PROGRESS_PERIOD: Seconds = 1.0
 MAX_RESUME_FAILURES = 3
 RESUME_DELAY: Seconds = 0.3
+BODILESS_STATUSES = frozenset({204, 304})
 STREAM_END = b"data: [DONE]"
 _TAIL_BYTES = 64
 _HOP_BY_HOP = frozenset(
@@ -167,7 +168,7 @@
         self._offset = 0
         self._tokens: Tokens = 0
         self._cached: Tokens = 0
-        self._tail = b""
+        self._tail = b"\n"
         self._reported_at = 0.0
         self._status = 0
         self._unstreamed_body = bytearray()
@@ -236,10 +237,17 @@
         self._exchange.begin(AnswerHead(answer.status, forwarded))
 
     async def _read(self, answer: aiohttp.ClientResponse) -> None:
+        closed = _unframed_end(answer)
         async for chunk in answer.content.iter_any():
             await self._process_chunk(chunk)
-        if self._needs_end_marker() and STREAM_END not in self._tail:
+        if closed is not None and (not closed.done() or closed.exception()):
             raise _Truncated
+        if self._needs_end_marker() and not self._has_end_marker():
+            raise _Truncated
+
+    def _has_end_marker(self) -> bool:
+        # The first line of the tail may be the end of a longer one.
+        return STREAM_END in self._tail.splitlines()[1:]
 
     def _needs_end_marker(self) -> bool:
         engine = self._call.kind is PoolKind.ENGINE
@@ -332,6 +340,20 @@
         return body.usage or _Usage()
 
 
+def _unframed_end(answer: aiohttp.ClientResponse) -> asyncio.Future[None] | None:
+    """Return the end of the connection of an answer that only this end completes.
+
+    The client library also completes such an answer when its connection is reset.
+    """
+    if answer.method == "HEAD" or answer.status in BODILESS_STATUSES:
+        return None
+    if answer.headers.keys() & {"Content-Length", "Transfer-Encoding"}:
+        return None
+    if answer.connection is None or answer.connection.protocol is None:
+        raise _Truncated
+    return answer.connection.protocol.closed
+
+
 async def cancel_and_wait(task: asyncio.Task[None] | None) -> None:
     """Cancel a task and wait until it has ended."""
     if task is None:
--- /dev/null
+++ b/tests/test_engine.py
@@ -0,0 +1,88 @@
+import asyncio
+
+import pytest
+from starlette.applications import Starlette
+from starlette.responses import Response
+from starlette.routing import Route
+
+from amaranthferry.config import BackendServer
+from amaranthferry.engine import BackendClient
+from amaranthferry.events import DispatchFailed, DispatchFinished
+from amaranthferry.exchange import Call, Exchange
+from amaranthferry.standins.serving import UnframedResponse, reset_connection, serve
+from amaranthferry.types import PoolId, PoolKind, RequestId, ServerId, ZoneId
+
+
+async def dispatch(
+    chunks, *, kind=PoolKind.SERVICE, reset=False, method="GET", status=200
+):
+    """Dispatch to a server that sends these chunks unframed; return the last event."""
+
+    async def answer(request):
+        if status != 200 or request.method == "HEAD":
+            return Response(status_code=status)
+
+        async def body():
+            for chunk in chunks:
+                yield chunk
+            if reset:
+                reset_connection(request)
+
+        return UnframedResponse(body(), {})
+
+    app = Starlette(routes=[Route("/call", answer, methods=["GET", "HEAD"])])
+    call = Call(
+        request_id=RequestId("r"),
+        kind=kind,
+        method=method,
+        path="/call",
+        headers=(),
+        body=b"",
+        streamed=kind is PoolKind.ENGINE,
+        timeout=2.0,
+    )
+    events = []
+    loop = asyncio.get_running_loop()
+    client = BackendClient(idle_timeout=2.0, clock=loop.time)
+    await client.start()
+    async with serve(app) as url:
+        server = BackendServer(
+            name=ServerId("s"),
+            pool=PoolId("p"),
+            zone=ZoneId("z"),
+            address=url.removeprefix("http://"),
+        )
+        await client.dispatch(Exchange(call), server, events.append)
+        await client.stop()
+    return events[-1]
+
+
+async def test_unframed_answer_is_complete_at_an_orderly_end():
+    assert isinstance(await dispatch([b"whole"]), DispatchFinished)
+
+
+@pytest.mark.parametrize(
+    ("method", "status"), [("GET", 204), ("GET", 304), ("HEAD", 200)]
+)
+async def test_answer_without_a_body_is_complete(method, status):
+    ended = await dispatch([], method=method, status=status)
+    assert isinstance(ended, DispatchFinished)
+
+
+async def test_unframed_answer_that_is_reset_is_not_complete():
+    assert isinstance(await dispatch([b"par"], reset=True), DispatchFailed)
+
+
+@pytest.mark.parametrize(
+    ("text", "complete"),
+    [
+        (b'data: {"text": "data: [DONE]"}', False),
+        (b'data: {"text": "x"}\n\ndata: [DON', False),
+        (b'data: {"text": "x"}\n\ndata: [DONE]\n\n', True),
+        (b'data: {"text": "x"}\r\n\r\ndata: [DONE]\r\n\r\n', True),
+        (b"data: [DONE]\n\n", True),
+    ],
+)
+async def test_engine_stream_is_complete_only_with_its_end_marker(text, complete):
+    ended = await dispatch([text], kind=PoolKind.ENGINE)
+    assert isinstance(ended, DispatchFinished if complete else DispatchFailed)
