Report a write whose answer can't be read as possibly done

A store answers a write with success and a body that breaks off: the client raised StoreUnavailable, which promises that nothing was changed, while the object exists. Callers of create now get AnswerLost.

--- a/src/amaranthferry/platform/store.py
+++ b/src/amaranthferry/platform/store.py
@@ -172,7 +172,10 @@
         """Create an object; raise VersionConflict when it exists."""
         body = {"metadata": {"name": name}, "spec": spec}
         answer = await self._call("POST", f"/objects/{kind}", msgspec.json.encode(body))
-        return _decode(answer.body, StoredObject)
+        try:
+            return _decode(answer.body, StoredObject)
+        except StoreUnavailable as exc:
+            raise AnswerLost(exc.message, remedy="Read the object back.") from exc
 
     async def delete(self, kind: str, name: str) -> None:
         """Delete an object if it exists."""
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -8,7 +8,7 @@
 
 from amaranthferry.exceptions import AnswerLost, StoreUnavailable
 from amaranthferry.platform.store import EraRefused, StoreClient
-from amaranthferry.standins.serving import serve
+from amaranthferry.standins.serving import UnframedResponse, serve
 
 
 @contextlib.asynccontextmanager
@@ -75,3 +75,21 @@
     async with client(1, 2, pages=[first]) as store:
         with pytest.raises(StoreUnavailable):
             await store.list("servers")
+
+
+@pytest.mark.parametrize("body", [b'{"metadata": {"na', b"", b"[]"])
+async def test_write_whose_answer_is_cut_may_have_been_done(body):
+    async def answer(request):
+        async def chunks():
+            yield body
+
+        return UnframedResponse(chunks(), {})
+
+    app = Starlette(routes=[Route("/{path:path}", answer, methods=["GET", "POST"])])
+    async with serve(app) as url:
+        store = StoreClient(url.removeprefix("http://"))
+        with pytest.raises(AnswerLost):
+            await store.create("servers", "a", {})
+        with pytest.raises(StoreUnavailable):
+            await store.list("servers")
+        await store.stop()
