Answer HEAD requests without waiting for a body

An answer to HEAD is now complete with its headers, which are relayed as sent. The test failed before with (504, b'').

--- a/src/amaranthferry/gateway/edge.py
+++ b/src/amaranthferry/gateway/edge.py
@@ -54,7 +54,9 @@
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one request."""
-        responder = Responder(send, closing=self._app.stopping)
+        responder = Responder(
+            send, closing=self._app.stopping, bodiless=scope["method"] == "HEAD"
+        )
         received = [
             (k.decode("latin-1"), v.decode("latin-1")) for k, v in scope["headers"]
         ]
@@ -185,9 +187,10 @@
 class Responder:
     """Write one response to a caller."""
 
-    def __init__(self, send: Send, *, closing: bool) -> None:
+    def __init__(self, send: Send, *, closing: bool, bodiless: bool = False) -> None:
         self._send = send
         self._closing = closing
+        self._bodiless = bodiless
 
     async def start(self, start: AnswerStart, length: int | None = None) -> None:
         """Write the status and headers of a server's answer."""
@@ -199,7 +202,8 @@
 
     async def answer(self, answer: BufferedAnswer) -> None:
         """Write a buffered answer."""
-        await self.start(answer.start, len(answer.body))
+        length = None if self._bodiless else len(answer.body)
+        await self.start(answer.start, length)
         await self._body(answer.body, more=False)
 
     async def chunk(self, chunk: bytes) -> None:
--- a/src/amaranthferry/http_connection.py
+++ b/src/amaranthferry/http_connection.py
@@ -56,6 +56,7 @@
         self._buffered = 0
         self._complete = False
         self._framed = False
+        self._bodiless = False
         self._error: Exception | None = None
         self._keep_alive = False
         #: Whether the peer has closed the connection in order, not by a reset.
@@ -137,6 +138,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._start, self._complete, self._framed = None, False, False
         self._headers, self._keep_alive = [], False
+        self._bodiless = method == "HEAD"
         self._chunks.clear()
         self._buffered = 0
         lines = [f"{method} {target} HTTP/1.1"]
@@ -213,6 +215,9 @@
         self._keep_alive = self._parser.should_keep_alive() and self._framed
         status = self._parser.get_status_code()
         self._start = AnswerStart(status, tuple(self._headers), framing)
+        if self._bodiless:
+            # The parser would wait for the body that the headers announce.
+            self._complete, self._keep_alive = True, False
 
     def _framing(self) -> AnswerFraming:
         names = {name for name, _ in self._headers}
--- a/src/amaranthferry/standins/routed.py
+++ b/src/amaranthferry/standins/routed.py
@@ -119,7 +119,7 @@
         if self.unframed:
             body = self._body if request.method == "GET" else self._stream
             return UnframedResponse(body(request), headers)
-        if request.method == "GET":
+        if request.method in ("GET", "HEAD"):
             return Response(self.name.encode(), headers=headers)
         return StreamingResponse(
             self._stream(request), headers=headers, media_type="text/event-stream"
--- a/tests/gateway/test_application.py
+++ b/tests/gateway/test_application.py
@@ -371,3 +371,11 @@
     assert (line["partial_event"] > 0) is (fault is ServerFault.RESET_STREAM)
     end = "broken" if fault is ServerFault.RESET_STREAM else "complete"
     assert counts == {("review", end, "connection_end"): 1}
+
+
+async def test_answer_to_a_head_request_has_no_body_and_is_relayed():
+    async with fleet() as (system, caller):
+        _, status, headers, body = await caller.send("HEAD", "/look/x")
+        assert (status, body) == (200, b"")
+        assert headers["Content-Length"] == str(len("ledger-0"))
+        assert "X-Amaranthferry-Server-Signature" in headers
