Send nothing new to a server that says in an answer that it leaves

Cause: Server-Leaving was read nowhere.

The header is decoded in platform/headers.py from the head of every answer: success, failure, 421, 503, a stream that still runs; trailers don't count. The server stays in the deployment as drained, so that all hosts see the same shards. The host that saw the answer tells the hosts that decide and forwards along the tree of hosts; each host forwards once. A grant of a coordinator that hasn't heard is declined with the notice. What runs goes on. One log line when a host learns or forgets, with the age and the source, and a gauge.

children moves from gateway/broadcast.py to fan_out.py, with its tests, since the reducer needs it too; the product's interface compares versions instead of objects to see whether settings were applied.

--- a/src/amaranthferry/application.py
+++ b/src/amaranthferry/application.py
@@ -230,7 +230,7 @@
     def _apply_settings(self, deployment: Deployment) -> None:
         """Apply a newer deployment to this host."""
         self.handle(SettingsApplied(now=self.clock(), deployment=deployment))
-        if self.state.deployment is deployment:
+        if self.state.deployment.version == deployment.version:
             self.callers = CallerDirectory(deployment)
             self.backend.idle_timeout = deployment.limits.idle_timeout
             self.claims.cfg = deployment.limits
--- a/src/amaranthferry/codec.py
+++ b/src/amaranthferry/codec.py
@@ -20,6 +20,7 @@
     | messages.StoreUpdateRequest
     | messages.StoreUpdate
     | messages.ServerNotice
+    | messages.LeavingNotice
     | settings_messages.SettingsVersionRequest
     | settings_messages.SettingsVersionReply
     | settings_messages.SettingsVersionNotice
--- a/src/amaranthferry/coordination.py
+++ b/src/amaranthferry/coordination.py
@@ -1,6 +1,7 @@
 """Run the coordinators of this host, and apply host, server and settings changes."""
 
 from . import coordinator_reducer
+from .config import Deployment
 from .coordinator import Coordinator
 from .effects import Effect, SendToHost
 from .entry import expire
@@ -189,11 +190,12 @@
     source = ServerStateSource.ORDER
     effects = record_server_state(state, event.server, event.state, source)
     notice = ServerNotice(server=event.server, state=event.state, source=source)
-    hosts = _deciding_hosts(state, event.server)
+    hosts = deciding_hosts(state, event.server)
     return effects + [SendToHost(host=host, message=notice) for host in hosts]
 
 
-def _deciding_hosts(state: HostState, server: ServerId) -> list[HostId]:
+def deciding_hosts(state: HostState, server: ServerId) -> list[HostId]:
+    """Return the other hosts that decide on a server's permits now or soon."""
     cfg = state.deployment.servers.get(server)
     if cfg is None:
         return []
@@ -226,10 +228,16 @@
 def _(event: SettingsApplied, state: HostState) -> list[Effect]:
     if event.deployment.version < state.deployment.version:
         return []
-    state.replace_deployment(event.deployment)
+    return apply_deployment(state, event.deployment)
+
+
+def apply_deployment(state: HostState, deployment: Deployment) -> list[Effect]:
+    """Apply a deployment to this host and to the coordinators on it."""
+    state.replace_deployment(deployment)
+    applied = SettingsApplied(now=state.now, deployment=state.deployment)
     effects: list[Effect] = []
     for coordinator in state.coordinators.values():
-        effects += coordinator_reducer.reduce(coordinator, event)
+        effects += coordinator_reducer.reduce(coordinator, applied)
     return effects + apply_to_fallbacks(state)
 
 
--- a/src/amaranthferry/effects.py
+++ b/src/amaranthferry/effects.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from .messages import Message
+from .messages import Message, ServerIncarnation
 from .types import (
     HostId,
     Outcome,
@@ -10,6 +10,7 @@
     RequestId,
     Seconds,
     ServerId,
+    ServerSignal,
     StoreOutageRule,
     WorkspaceId,
 )
@@ -72,6 +73,19 @@
     request_id: RequestId
 
 
+class ReportSignal(Effect, frozen=True):
+    """Report a change of what is known from a server's own answers.
+
+    `age` is that of the answer, and `source` is the host that received it.
+    """
+
+    signal: ServerSignal
+    incarnation: ServerIncarnation
+    source: HostId
+    age: Seconds = 0.0
+    duration: Seconds = 0.0
+
+
 class CountMetric(Effect, frozen=True):
     """Add to a counter."""
 
--- a/src/amaranthferry/entry.py
+++ b/src/amaranthferry/entry.py
@@ -15,7 +15,9 @@
     SettleRequest,
 )
 from .events import ClaimSettled, PeerReceived, RequestArrived
+from .leaving import incarnation_of
 from .messages import (
+    LeavingNotice,
     PermitGrant,
     PermitRefusal,
     PermitRelease,
@@ -185,8 +187,9 @@
     state: HostState, req: Request, sender: HostId, grant: PermitGrant
 ) -> list[Effect]:
     """Decline a grant for a leaving server and forward its reported states."""
-    reports = state.server_reports[grant.server].items()
-    notices: list[Effect] = [
+    reports = state.server_reports.get(grant.server, {}).items()
+    notices: list[Effect] = _leaving_notice(state, sender, grant)
+    notices += [
         SendToHost(
             host=sender,
             message=ServerNotice(server=grant.server, state=reported, source=source),
@@ -196,6 +199,18 @@
     return [*notices, return_grant(sender, grant), *request_permit(state, req)]
 
 
+def _leaving_notice(
+    state: HostState, sender: HostId, grant: PermitGrant
+) -> list[Effect]:
+    """Tell the granting host what the server itself has said, if it has."""
+    incarnation = incarnation_of(state.deployment, grant.server)
+    if incarnation is None or incarnation not in state.leaving:
+        return []
+    age = state.now - state.leaving.seen_at(incarnation)
+    notice = LeavingNotice(incarnation, state.host, age)
+    return [SendToHost(host=sender, message=notice)]
+
+
 def _record_quota_usage(state: HostState, req: Request) -> None:
     """Record the quota usage of a request's first dispatch."""
     arrival = req.arrival
--- a/src/amaranthferry/events.py
+++ b/src/amaranthferry/events.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from .config import Deployment
-from .messages import Message
+from .messages import Message, ServerIncarnation
 from .types import (
     ClassId,
     HostId,
@@ -71,6 +71,12 @@
     source: ServerStateSource
 
 
+class ServerLeavingSeen(Event, frozen=True):
+    """Report that a server has said in an answer to this host that it leaves."""
+
+    incarnation: ServerIncarnation
+
+
 class OrderDrainSeen(Event, frozen=True):
     """Stop or resume new work for a server that is about to receive an order.
 
--- a/src/amaranthferry/gateway/broadcast.py
+++ b/src/amaranthferry/gateway/broadcast.py
@@ -1,21 +1,17 @@
-"""Distribute an update to all hosts over a tree, with its changes compressed.
+"""Compress the changes of an update, which is forwarded along a tree of hosts.
 
 A reader that sent a large update to every host itself would occupy a slow link for
 longer than its peers wait for its replies.
 """
 
 import zlib
-from collections.abc import Sequence
 
 import msgspec
 import structlog
 
 from ..messages import ObjectChange, StoreUpdate
-from ..types import HostId
 from .log_events import LogEvent
 
-#: Hosts that each host forwards an update to.
-FAN_OUT = 4
 #: Size above which changes are compressed.
 MIN_PACKED_BYTES = 1_024
 #: The fastest level; links are slow, but so are the hosts' processors.
@@ -27,19 +23,6 @@
 _decoder = msgspec.msgpack.Decoder(tuple[ObjectChange, ...])
 
 
-def children(host: HostId, origin: HostId, hosts: Sequence[HostId]) -> list[HostId]:
-    """Return the hosts that a host forwards an origin's update to.
-
-    The tree is the same on all hosts that know the same live hosts. Hosts with similar
-    names, which are mostly of one zone, stand near each other in it.
-    """
-    ordered = sorted({*hosts, host, origin})
-    root = ordered.index(origin)
-    ordered = ordered[root:] + ordered[:root]
-    first = FAN_OUT * ordered.index(host) + 1
-    return ordered[first : first + FAN_OUT]
-
-
 def pack(update: StoreUpdate, *, limit: int) -> StoreUpdate:
     """Return an update with large changes compressed.
 
--- a/src/amaranthferry/gateway/decisions.py
+++ b/src/amaranthferry/gateway/decisions.py
@@ -5,14 +5,19 @@
 import structlog
 
 from ..coordinator import Coordinator
+from ..effects import ReportSignal
 from ..messages import Message, PermitGrant, PermitRefusal
 from ..state import HostState
-from ..types import HostId, Seconds, ShardId
+from ..types import HostId, Seconds, ServerSignal, ShardId
 from .dispatching import Dispatch
 from .exchange import RoutedExchange
 from .log_events import LogEvent
 
 _log = structlog.get_logger(__name__)
+_SIGNAL_EVENTS = {
+    ServerSignal.LEAVING: LogEvent.SERVER_LEAVING,
+    ServerSignal.LEAVING_FORGOTTEN: LogEvent.SERVER_LEAVING_FORGOTTEN,
+}
 
 
 @singledispatch
@@ -67,6 +72,19 @@
     return state.fallbacks.get(shard) or state.coordinators.get(shard)
 
 
+def log_signal(effect: ReportSignal) -> None:
+    """Log a change of what is known from a server's own answers."""
+    event = _SIGNAL_EVENTS[effect.signal]
+    _log.info(
+        event,
+        server=effect.incarnation.server,
+        born=effect.incarnation.number,
+        address=effect.incarnation.address,
+        source=effect.source,
+        age=round(effect.age, 3),
+    )
+
+
 def log_answer(exchange: RoutedExchange, dispatch: Dispatch, now: Seconds) -> None:
     """Log an answered request."""
     call = exchange.call
--- a/src/amaranthferry/gateway/dispatching.py
+++ b/src/amaranthferry/gateway/dispatching.py
@@ -15,6 +15,7 @@
     DispatchRefused,
     Event,
     FirstTokenSeen,
+    ServerLeavingSeen,
     TokensSeen,
 )
 from ..http_connection import (
@@ -23,6 +24,7 @@
     BrokenAnswer,
     HttpConnection,
 )
+from ..messages import ServerIncarnation
 from ..platform import headers
 from ..types import RequestId, Seconds, ServerId, Tokens, WorkspaceId
 from .exchange import RoutedExchange
@@ -84,9 +86,11 @@
         server: BackendServer,
         report: Report,
         *,
+        incarnation: ServerIncarnation,
         clock: Callable[[], Seconds],
     ) -> None:
         self._exchange = exchange
+        self._incarnation = incarnation
         self._call = exchange.call
         self._server = server
         self._report = report
@@ -205,6 +209,10 @@
     ) -> _AnswerEnd:
         self.framing = start.framing
         origin = headers.read_answer_origin(start.fields(), start.status)
+        if origin.leaving:
+            self._report(
+                ServerLeavingSeen(now=self._clock(), incarnation=self._incarnation)
+            )
         if origin.not_executed:
             self._log(LogEvent.DISPATCH_NOT_RUN, status=start.status)
             return _AnswerEnd.NOT_RUN
--- a/src/amaranthferry/gateway/log_events.py
+++ b/src/amaranthferry/gateway/log_events.py
@@ -34,6 +34,9 @@
     STORE_RESTORED = "store.restored"  # kind, era, revision, lost_era, lost_revision
     SERVER_WITHHELD = "server.withheld"  # server, known, listed
     SERVER_RELEASED = "server.released"  # server, reason
+    # server, born, address, source, age
+    SERVER_LEAVING = "server.leaving"
+    SERVER_LEAVING_FORGOTTEN = "server.leaving_forgotten"
     STORE_LOST = "store.lost"  # kind, problem
     STORE_REGAINED = "store.regained"  # kind
     FRESHNESS_CHANGED = "freshness.changed"  # current, age
--- a/src/amaranthferry/gateway/performer.py
+++ b/src/amaranthferry/gateway/performer.py
@@ -14,14 +14,16 @@
     MakeClaim,
     ObserveMetric,
     ReplayAnswer,
+    ReportSignal,
     SendToHost,
     SettleRequest,
 )
 from ..events import CallerGone, DispatchFailed, DispatchRefused, PeerLost, PeerReceived
+from ..leaving import incarnation_of
 from ..problems import Problem
 from ..types import Outcome, RefusalReason
 from . import dispatching
-from .decisions import log_answer, log_decision
+from .decisions import log_answer, log_decision, log_signal
 from .exchange import RoutedExchange
 from .log_events import LogEvent
 
@@ -74,6 +76,11 @@
     """Ignore the sample; the gateway records its own by route."""
 
 
+@_perform.register
+def _(effect: ReportSignal, performer: Performer) -> None:
+    log_signal(effect)
+
+
 @_perform.register(MakeClaim)
 @_perform.register(CloseClaim)
 @_perform.register(ReplayAnswer)
@@ -98,7 +105,8 @@
     app = performer.app
     exchange = app.exchanges.get(effect.request_id)
     server = app.state.deployment.servers.get(effect.server)
-    if exchange is None or server is None:
+    incarnation = incarnation_of(app.state.deployment, effect.server)
+    if exchange is None or server is None or incarnation is None:
         refused = DispatchRefused(now=app.clock(), request_id=effect.request_id)
         app.handle_later(refused)
         return
@@ -113,7 +121,9 @@
         run=exchange.dispatches,
         waited=round(waited, 4),
     )
-    dispatch = dispatching.Dispatch(exchange, server, app.handle, clock=app.clock)
+    dispatch = dispatching.Dispatch(
+        exchange, server, app.handle, incarnation=incarnation, clock=app.clock
+    )
     exchange.task = app.spawn(dispatch.run())
     exchange.task.add_done_callback(
         lambda _: _finish_dispatch(performer, exchange, dispatch)
--- a/src/amaranthferry/gateway/store_sync.py
+++ b/src/amaranthferry/gateway/store_sync.py
@@ -20,10 +20,11 @@
 from msgspec.structs import replace
 
 from ..codec import encode
+from ..fan_out import children
 from ..messages import Message, StoreUpdate, StoreUpdateRequest
 from ..platform.store import Position
 from ..types import HostId, Seconds, StoreEra
-from .broadcast import children, pack, unpack
+from .broadcast import pack, unpack
 from .freshness import boot_time
 from .log_events import LogEvent
 from .read_pace import ReadPace
--- a/src/amaranthferry/gateway/telemetry.py
+++ b/src/amaranthferry/gateway/telemetry.py
@@ -175,6 +175,12 @@
             ("service",),
             _counts(server.pool for server in state.deployment.servers.values()),
         ),
+        (
+            "servers_leaving",
+            "Servers that have said that they leave.",
+            (),
+            {(): float(len(state.leaving.servers_of(state.deployment)))},
+        ),
         (
             "repeats_left",
             "Second runs that this host may still make.",
--- a/src/amaranthferry/messages.py
+++ b/src/amaranthferry/messages.py
@@ -26,6 +26,14 @@
     """Define the base of all messages between entry hosts."""
 
 
+class ServerIncarnation(msgspec.Struct, frozen=True, array_like=True):
+    """Identify one start of a backend server at one address."""
+
+    server: ServerId
+    number: int
+    address: str
+
+
 class PermitRequest(Message, frozen=True, tag="ask"):
     """Request a permit from a shard's coordinator to dispatch one request.
 
@@ -195,3 +203,14 @@
     server: ServerId
     state: ServerState
     source: ServerStateSource
+
+
+class LeavingNotice(Message, frozen=True, tag="leaving_server"):
+    """Forward that a server has said in an answer that it leaves, `age` ago.
+
+    The hosts forward it along the tree of the host that has seen the answer.
+    """
+
+    incarnation: ServerIncarnation
+    origin: HostId
+    age: Seconds
--- a/src/amaranthferry/performer.py
+++ b/src/amaranthferry/performer.py
@@ -15,6 +15,7 @@
     MakeClaim,
     ObserveMetric,
     ReplayAnswer,
+    ReportSignal,
     SendToHost,
     SettleRequest,
 )
@@ -55,6 +56,11 @@
     raise TypeError(f"No handler for the effect {type(effect).__name__}.")
 
 
+@_perform.register
+def _(effect: ReportSignal, performer: Performer) -> None:
+    _log.info("server signal", signal=effect.signal, server=effect.incarnation.server)
+
+
 @_perform.register
 def _(effect: CountMetric, performer: Performer) -> None:
     performer.app.metrics.count(effect.name, effect.value)
--- a/src/amaranthferry/platform/headers.py
+++ b/src/amaranthferry/platform/headers.py
@@ -19,6 +19,7 @@
 LENGTH_HINT = "x-amaranthferry-length-hint"
 LAST_EVENT_ID = "last-event-id"
 RETRY_AFTER = "retry-after"
+LEAVING = "server-leaving"
 
 #: Headers that only the system may set, and hop-by-hop headers.
 _NOT_FORWARDED = frozenset(
@@ -78,6 +79,7 @@
     attempt: str
     signed: bool
     not_executed: bool
+    leaving: bool
 
 
 def read_request_params(headers: Mapping[str, str]) -> RequestParams:
@@ -159,4 +161,5 @@
         attempt=headers.get(ATTEMPT_ID, ""),
         signed=SIGNATURE in headers,
         not_executed=NOT_EXECUTED in headers or status == 421,
+        leaving=headers.get(LEAVING, "").strip() == "1",
     )
--- a/src/amaranthferry/standins/routed.py
+++ b/src/amaranthferry/standins/routed.py
@@ -62,6 +62,10 @@
         self.fault = ServerFault.NONE
         #: Whether answers have neither a length nor chunks.
         self.unframed = False
+        #: Trailer of unframed answers, which are then sent in chunks.
+        self.trailer = ""
+        #: Whether the server says in all its answers that it leaves.
+        self.leaving = False
         self.executed: list[ReceivedRequest] = []
         self.cancelled: list[str] = []
         self.on_execution: Callable[[str], None] = lambda attempt: None
@@ -71,6 +75,8 @@
         if scope["type"] == "http":
             request = Request(scope, receive)
             response = await self._answer(request)
+            if self.leaving:
+                response.headers["Server-Leaving"] = "1"
             await response(scope, receive, send)
 
     async def _answer(self, request: Request) -> Response | UnframedResponse:
@@ -118,7 +124,7 @@
             return JSONResponse({"error": "no"}, status_code=422, headers=headers)
         if self.unframed:
             body = self._body if request.method == "GET" else self._stream
-            return UnframedResponse(body(request), headers)
+            return UnframedResponse(body(request), headers, trailer=self.trailer)
         if request.method in ("GET", "HEAD"):
             return Response(self.name.encode(), headers=headers)
         return StreamingResponse(
--- a/src/amaranthferry/standins/serving.py
+++ b/src/amaranthferry/standins/serving.py
@@ -44,20 +44,35 @@
 
 
 class UnframedResponse:
-    """Send an answer with neither a length nor chunks; its connection's end ends it."""
+    """Send an answer with neither a length nor chunks; its connection's end ends it.
 
-    def __init__(self, body: AsyncIterator[bytes], headers: Mapping[str, str]) -> None:
+    With a trailer, the answer is sent in chunks.
+    """
+
+    def __init__(
+        self,
+        body: AsyncIterator[bytes],
+        headers: Mapping[str, str],
+        *,
+        trailer: str = "",
+    ) -> None:
         self._body = body
-        self._headers = headers
+        self._trailer = trailer
+        self.headers = dict(headers)
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Write the answer to the transport, past the server's framing."""
         transport = scope["state"]["transport"]
         lines = ["HTTP/1.1 200 OK"]
-        lines += [f"{name}: {value}" for name, value in self._headers.items()]
+        lines += [f"{name}: {value}" for name, value in self.headers.items()]
+        if self._trailer:
+            lines.append("Transfer-Encoding: chunked")
         transport.write("\r\n".join([*lines, "", ""]).encode("latin-1"))
         async for chunk in self._body:
-            transport.write(chunk)
+            framed = b"%x\r\n%b\r\n" % (len(chunk), chunk)
+            transport.write(framed if self._trailer else chunk)
+        if self._trailer:
+            transport.write(f"0\r\n{self._trailer}\r\n\r\n".encode())
         transport.close()
         await _wait_for_disconnect(receive)
 
--- a/src/amaranthferry/state.py
+++ b/src/amaranthferry/state.py
@@ -4,6 +4,7 @@
 
 from .config import Deployment
 from .coordinator import Coordinator
+from .leaving import LeavingServers, incarnation_of
 from .quota import UsageRecord
 from .requests import Request
 from .retry import RepeatBudget, RetryBudget
@@ -75,6 +76,7 @@
     started_at: Seconds | None = None
     usage: dict[ShardId, UsageRecord] = {}
     lost_hosts: dict[HostId, Seconds] = {}
+    leaving: LeavingServers = msgspec.field(default_factory=LeavingServers)
     coordinator_timeout: Seconds = COORDINATOR_TIMEOUT
 
     def replace_hosts(
@@ -104,7 +106,14 @@
         return len(self.hosts) + lost
 
     def replace_deployment(self, deployment: Deployment) -> None:
-        """Replace the deployment and clear the cached shards of the pools."""
+        """Replace the deployment and clear the cached shards of the pools.
+
+        Leaving servers stay in it as drained, so that all hosts see the same shards.
+        """
+        leaving = self.leaving.servers_of(deployment)
+        if leaving:
+            drained = tuple(dict.fromkeys((*deployment.drained, *leaving)))
+            deployment = msgspec.structs.replace(deployment, drained=drained)
         self.deployment = deployment
         self.pool_shards.clear()
 
@@ -148,7 +157,10 @@
     def is_leaving(self, server: ServerId) -> bool:
         """Return whether any source reported a server as leaving or lost."""
         reports = self.server_reports.get(server, {}).values()
-        return any(reported is not ServerState.LIVE for reported in reports)
+        return (
+            any(reported is not ServerState.LIVE for reported in reports)
+            or incarnation_of(self.deployment, server) in self.leaving
+        )
 
     def permit_host(self, shard: ShardId) -> HostId:
         """Return the host that currently decides this host's permits for a shard."""
--- a/src/amaranthferry/types.py
+++ b/src/amaranthferry/types.py
@@ -50,6 +50,13 @@
     LOST = "lost"
 
 
+class ServerSignal(StrEnum):
+    """Represent a change of what is known from a server's own answers."""
+
+    LEAVING = "leaving"
+    LEAVING_FORGOTTEN = "leaving_forgotten"
+
+
 class ServerStateSource(StrEnum):
     """Represent the source of a backend server's reported state."""
 
--- a/tests/adapter/test_headers.py
+++ b/tests/adapter/test_headers.py
@@ -80,3 +80,14 @@
 )
 def test_only_the_server_reports_that_nothing_ran(fields, status, not_run):
     assert headers.read_answer_origin(fields, status).not_executed is not_run
+
+
+@pytest.mark.parametrize(
+    ("value", "leaving"),
+    [("1", True), (" 1 ", True), ("0", False), ("", False), ("true", False)],
+)
+@pytest.mark.parametrize("status", [200, 421, 500, 503])
+def test_server_leaves_only_by_the_value_1(value, leaving, status):
+    fields = {headers.LEAVING: value}
+    assert headers.read_answer_origin(fields, status).leaving is leaving
+    assert not headers.read_answer_origin({}, status).leaving
--- a/tests/gateway/test_application.py
+++ b/tests/gateway/test_application.py
@@ -379,3 +379,54 @@
         assert (status, body) == (200, b"")
         assert headers["Content-Length"] == str(len("ledger-0"))
         assert "X-Amaranthferry-Server-Signature" in headers
+
+
+def leaves(system, server):
+    return server in system.hosts[0].state.deployment.drained
+
+
+@pytest.mark.parametrize("fault", [ServerFault.NONE, ServerFault.ERROR])
+@pytest.mark.parametrize("unframed", [False, True])
+async def test_server_that_says_in_an_answer_that_it_leaves_gets_nothing_new(
+    fault, unframed
+):
+    async with fleet() as (system, caller):
+        ledger = system.servers["ledger-0"]
+        ledger.leaving, ledger.fault, ledger.unframed = True, fault, unframed
+        while not ledger.executed:
+            await caller.send("GET", "/look/x")
+        assert leaves(system, "ledger-0")
+        for _ in range(8):
+            assert (await caller.send("GET", "/look/x"))[3] == b"ledger-1"
+        assert len(ledger.executed) == 1
+
+
+@pytest.mark.parametrize("fault", [ServerFault.FULL, ServerFault.NONE])
+async def test_refusal_of_a_leaving_server_counts_as_its_word(fault):
+    async with fleet(ledgers=1) as (system, caller):
+        ledger = system.servers["ledger-0"]
+        ledger.leaving, ledger.fault = True, fault
+        if fault is ServerFault.NONE:
+            ledger.name = "another"
+        assert (await caller.send("POST", "/pay/x"))[1] == 503
+        assert leaves(system, "ledger-0")
+        assert ledger.executed == []
+
+
+async def test_head_of_a_running_stream_says_that_its_server_leaves():
+    async with fleet(engines=1) as (system, caller):
+        engine = system.servers["engine-0"]
+        engine.leaving, engine.event_interval = True, 0.3
+        running = asyncio.create_task(caller.send_prompt("/review/one"))
+        await until(lambda: leaves(system, "engine-0"))
+        assert not running.done()
+        assert (await running)[3] == STREAM
+
+
+async def test_trailer_does_not_say_that_a_server_leaves():
+    async with fleet(ledgers=1) as (system, caller):
+        ledger = system.servers["ledger-0"]
+        ledger.unframed = True
+        ledger.trailer = "Server-Leaving: 1"
+        assert (await caller.send("GET", "/look/x"))[1] == 200
+        assert not leaves(system, "ledger-0")
--- a/tests/gateway/test_broadcast.py
+++ b/tests/gateway/test_broadcast.py
@@ -2,39 +2,14 @@
 
 import pytest
 
-from amaranthferry.gateway.broadcast import FAN_OUT, children, pack, unpack
+from amaranthferry.gateway.broadcast import pack, unpack
 from amaranthferry.messages import ObjectChange, StoreUpdate
 
-HOSTS = [f"host-{number}" for number in range(195)]
-
 
 def update(changes, **fields):
     return StoreUpdate(0, "config", 1, 2, 0.0, changes, **fields)
 
 
-@pytest.mark.parametrize("origin", ["host-0", "host-77"])
-@pytest.mark.parametrize("count", [1, 2, 5, 195])
-def test_tree_reaches_every_host_once(origin, count):
-    hosts = sorted({origin, *HOSTS[:count]})
-    reached, level = [origin], [origin]
-    while level:
-        level = [
-            child
-            for host in level
-            for child in children(host, origin, [h for h in hosts if h != host])
-        ]
-        reached += level
-    assert sorted(reached) == hosts
-
-
-def test_no_host_forwards_to_more_than_the_fan_out():
-    assert max(len(children(host, "host-3", HOSTS)) for host in HOSTS) == FAN_OUT
-
-
-def test_host_that_the_others_do_not_know_is_in_the_tree():
-    assert children("new", "new", HOSTS[:3]) == ["host-0", "host-1", "host-2"]
-
-
 @pytest.mark.parametrize("count", [0, 1, 400])
 def test_packed_changes_are_unpacked_alike(count):
     changes = tuple(ObjectChange(f"o-{n}", n, False, {"n": n}) for n in range(count))
