Let the soak play server signals and answers without framing

New faults: answers with neither a length nor chunks, resets inside a stream, streams that end inside an event, a server that says that it leaves while its entry doesn't, a service whose servers refuse work and ask for hold-offs. New checks: nothing new from a host that has relayed a server's word, at most two requests in a hold-off. A seed draws every fault before one is repeated, and a run prints how many calls of each kind met each fault.

--- a/src/amaranthferry/cli_soak.py
+++ b/src/amaranthferry/cli_soak.py
@@ -9,9 +9,10 @@
 import typer
 
 from .logs import set_up_logs
-from .soak.checks import Violation, check_guarantees
+from .soak.checks import Violation, check_guarantees, count_coverage
 from .soak.run import Soak, write_findings
 from .soak.schedule import SoakFault
+from .standins.deployment import CallKind
 
 MIN_SECONDS = 20.0
 
@@ -66,6 +67,9 @@
         f"seed {seed}: {len(run.schedule)} faults, {served} of {len(calls)} calls "
         f"served, {len(violations)} violations"
     )
+    for fault, met in sorted(count_coverage(run.record).items()):
+        kinds = ", ".join(f"{met[kind]} {kind}" for kind in CallKind)
+        typer.echo(f"  met by {kinds}: {fault}")
     for violation in violations:
         typer.echo(f"  {violation.guarantee}: {violation.detail}")
 
--- a/src/amaranthferry/soak/checks.py
+++ b/src/amaranthferry/soak/checks.py
@@ -1,5 +1,6 @@
 """Check guarantees against what callers, servers and the operator have seen."""
 
+from collections import Counter
 from collections.abc import Iterator
 from enum import StrEnum
 
@@ -12,6 +13,9 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 #: Time after a server's report, read without a fault, in which it may get requests.
 LEAVING_BOUND: Seconds = 3.0
+#: Requests that may reach a server after this time of a hold-off.
+HOLD_OFF_SLACK: Seconds = 0.5
+HOLD_OFF_ARRIVALS = 2
 #: Events of a complete stream.
 EVENT_COUNT = 3
 
@@ -23,6 +27,7 @@
     NOT_RUN_IS_ACCURATE = "not run is true"
     COMPLETE_ANSWER = "the whole answer to its own caller"
     NO_WORK_TO_LEAVING = "a leaving server gets nothing new"
+    HOLD_OFF = "a server is left alone for the time that it asks for"
     REVOCATION = "a revoked key is refused within its bound"
     STOP_ABORTS_NOTHING = "a planned stop cuts nothing"
     CONFIG_PERSISTS = "a configuration in force never reverts"
@@ -44,6 +49,15 @@
     at: Seconds
 
 
+class Refusal(msgspec.Struct, frozen=True):
+    """Record that a server has refused a request and wants nothing for a while."""
+
+    attempt: str
+    server: str
+    at: Seconds
+    duration: Seconds
+
+
 class Span(msgspec.Struct, frozen=True):
     """Represent the time of one fault."""
 
@@ -61,6 +75,9 @@
 
     calls: list[CallRecord] = []
     executions: list[Execution] = []
+    #: All requests that have reached their server, refused ones too.
+    arrivals: list[Execution] = []
+    refusals: list[Refusal] = []
     #: Times at which the operator's last write that revoked a key was acknowledged.
     revoked: dict[str, Seconds] = {}
     leaving: dict[str, Seconds] = {}
@@ -69,6 +86,7 @@
     versions: dict[str, list[int]] = {}
     planned_stops: list[Span] = []
     unrecovered: list[str] = []
+    servers: list[str] = []
 
 
 def check_guarantees(record: SoakRecord) -> list[Violation]:
@@ -78,6 +96,8 @@
         *_check_not_run(record),
         *_check_answers(record),
         *_check_leaving(record),
+        *_check_said_leaving(record),
+        *_check_hold_offs(record),
         *_check_revocation(record),
         *_check_stops(record),
         *_check_versions(record),
@@ -85,6 +105,25 @@
     ]
 
 
+def count_coverage(record: SoakRecord) -> dict[str, Counter[CallKind]]:
+    """Count the calls of each kind that met each fault."""
+    coverage: dict[str, Counter[CallKind]] = {}
+    runs = _runs_by_attempt(record)
+    for fault in record.faults:
+        name, _, target = fault.name.partition(": ")
+        met = coverage.setdefault(name, Counter())
+        met.update(
+            call.kind
+            for call in record.calls
+            if fault.overlaps(call.sent, call.ended)
+            and (
+                target not in record.servers
+                or any(run.server == target for run in runs.get(call.attempt, []))
+            )
+        )
+    return coverage
+
+
 def _runs_by_attempt(record: SoakRecord) -> dict[str, list[Execution]]:
     runs: dict[str, list[Execution]] = {}
     for execution in record.executions:
@@ -151,6 +190,61 @@
             )
 
 
+def _check_said_leaving(record: SoakRecord) -> Iterator[Violation]:
+    """Check that a host which has relayed a server's word sends it nothing new."""
+    calls = {call.attempt: call for call in record.calls}
+    told: dict[tuple[str, str], Seconds] = {}
+    for call in record.calls:
+        if call.server_leaving:
+            key = call.host, call.signature.removeprefix("signed-")
+            told[key] = min(call.ended, told.get(key, call.ended))
+    for run in record.arrivals:
+        call_of_run = calls[run.attempt]
+        at = told.get((call_of_run.host, run.server))
+        if at is None or call_of_run.sent <= at + LEAVING_BOUND:
+            continue
+        if not _was_interrupted(record, call_of_run.host, at, run.at):
+            yield Violation(
+                Guarantee.NO_WORK_TO_LEAVING,
+                f"{run.server} got {run.attempt} from {call_of_run.host} "
+                f"{call_of_run.sent - at:.2f} s after it said there that it leaves",
+            )
+
+
+def _check_hold_offs(record: SoakRecord) -> Iterator[Violation]:
+    hosts = {call.attempt: call.host for call in record.calls}
+    for refusal in record.refusals:
+        host = hosts[refusal.attempt]
+        start, end = refusal.at + HOLD_OFF_SLACK, refusal.at + refusal.duration
+        late = [
+            item.attempt
+            for item in record.arrivals
+            if item.server == refusal.server
+            and hosts[item.attempt] == host
+            and start < item.at < end
+        ]
+        interrupted = _was_interrupted(record, host, refusal.at, end)
+        if len(late) > HOLD_OFF_ARRIVALS and not interrupted:
+            yield Violation(
+                Guarantee.HOLD_OFF,
+                f"{refusal.server} got {late} from {host} after {refusal.attempt}",
+            )
+
+
+def _was_interrupted(
+    record: SoakRecord, host: str, start: Seconds, end: Seconds
+) -> bool:
+    """Return whether a host was restarted or suspended in an interval."""
+    stops = [stop for stop in record.planned_stops if stop.name == host]
+    faults = [fault for fault in record.faults if fault.name.startswith("host")]
+    faults += [fault for fault in record.faults if fault.name.startswith("all hosts")]
+    return any(span.overlaps(start, end) for span in stops) or any(
+        span.overlaps(start, end)
+        for span in faults
+        if span.name.endswith((f": {host}", ": hosts"))
+    )
+
+
 def _check_revocation(record: SoakRecord) -> Iterator[Violation]:
     runs = _runs_by_attempt(record)
     for call in record.calls:
--- a/src/amaranthferry/soak/run.py
+++ b/src/amaranthferry/soak/run.py
@@ -26,7 +26,14 @@
 from ..standins.routed import RoutedServer, ServerFault
 from ..standins.serving import serve
 from ..types import Seconds
-from .checks import EVENT_COUNT, Execution, SoakRecord, Span
+from .checks import (
+    EVENT_COUNT,
+    LEAVING_BOUND,
+    Execution,
+    Refusal,
+    SoakRecord,
+    Span,
+)
 from .processes import HostProcess
 from .schedule import PlannedFault, SoakFault, plan_faults
 
@@ -41,6 +48,10 @@
 #: Pause between a copy's return and the operator's and the servers' rewrite.
 REWRITE_DELAY: Seconds = 0.3
 AWAY_TIME: Seconds = 0.3
+#: Time in which a server refuses work and asks for hold-offs.
+REFUSING_TIME: Seconds = 0.6
+#: Shortest hold-off that it asks for.
+MIN_HOLD_OFF: Seconds = 3.0
 _log = structlog.get_logger(__name__)
 
 _STORE_FAULTS = {
@@ -53,6 +64,8 @@
     SoakFault.SERVER_LOSES_ANSWERS: ServerFault.RESET_AFTER_EXECUTION,
     SoakFault.SERVER_FAILS: ServerFault.ERROR,
     SoakFault.SERVER_FULL: ServerFault.FULL,
+    SoakFault.SERVER_RESETS_STREAMS: ServerFault.RESET_STREAM,
+    SoakFault.SERVER_ENDS_STREAMS_EARLY: ServerFault.END_IN_EVENT,
     SoakFault.SERVER_SILENT: ServerFault.NO_ANSWER,
     SoakFault.SERVER_CROSSES_ANSWERS: ServerFault.WRONG_ATTEMPT_ID,
 }
@@ -70,8 +83,21 @@
 
     def note_execution(self, attempt: str) -> None:
         """Record that a request begins to run."""
-        now = asyncio.get_running_loop().time()
-        self._record.executions.append(Execution(attempt, self.name, now))
+        self._record.executions.append(Execution(attempt, self.name, _now()))
+
+    def note_arrival(self, attempt: str) -> None:
+        """Record that a request has arrived."""
+        self._record.arrivals.append(Execution(attempt, self.name, _now()))
+
+    def note_refusal(self, attempt: str) -> None:
+        """Record a refusal that asks for a hold-off."""
+        if self.retry_after:
+            duration = float(self.retry_after)
+            self._record.refusals.append(Refusal(attempt, self.name, _now(), duration))
+
+
+def _now() -> Seconds:
+    return asyncio.get_running_loop().time()
 
 
 class Soak:
@@ -155,6 +181,9 @@
         server = _RecordingServer(f"{service}-{number}", service, self.record)
         server.born = number
         server.on_execution = server.note_execution
+        server.on_arrival = server.note_arrival
+        server.on_refusal = server.note_refusal
+        self.record.servers.append(server.name)
         url = await self._stack.enter_async_context(serve(server))
         server.address = url.removeprefix("http://")
         self._servers.append(server)
@@ -244,6 +273,18 @@
                 server.service,
                 lambda: self._replace(server),
             ),
+            SoakFault.SERVER_UNFRAMED: (
+                f"{server.name} framing",
+                lambda: self._unframe(server, duration),
+            ),
+            SoakFault.SERVER_SAYS_LEAVING: (
+                server.service,
+                lambda: self._say_leaving(server, duration),
+            ),
+            SoakFault.SERVICE_HOLDS_OFF: (
+                server.service,
+                lambda: self._hold_off(server.service, duration),
+            ),
             SoakFault.KEY_REVOKED: ("config", self._revoke),
             SoakFault.CONFIG_CHANGED: ("config", self._change_config),
         }[fault]
@@ -301,6 +342,35 @@
         self.record.leaving[server.name] = self._now()
         await self._write_server(server)
 
+    async def _unframe(self, server: _RecordingServer, duration: Seconds) -> None:
+        server.unframed = True
+        await asyncio.sleep(duration)
+        server.unframed = False
+
+    async def _say_leaving(self, server: _RecordingServer, duration: Seconds) -> None:
+        """Let a server say that it leaves, while its entry still shows it as live."""
+        await self._add_server(server.service)
+        server.leaving = True
+        await asyncio.sleep(LEAVING_BOUND + duration)
+        self.record.leaving[server.name] = self._now()
+        await self._write_server(server)
+
+    async def _hold_off(self, service: str, duration: Seconds) -> None:
+        """Let all servers of a service refuse work for a moment and ask for hold-offs.
+
+        One server alone would get little anyway, since hosts avoid servers that fail.
+        """
+        wanted = MIN_HOLD_OFF + duration
+        servers = [server for server in self._servers if server.service == service]
+        for server in servers:
+            server.retry_after = f"{wanted:.3f}"
+        await asyncio.gather(
+            *(self._fail_server(s, ServerFault.FULL, REFUSING_TIME) for s in servers)
+        )
+        for server in servers:
+            server.retry_after = ""
+        await asyncio.sleep(wanted)
+
     async def _revoke(self) -> None:
         revoked, self._keys = self._keys, [f"key-{next(self._numbers)}"]
         await self._change_config()
--- a/src/amaranthferry/soak/schedule.py
+++ b/src/amaranthferry/soak/schedule.py
@@ -36,6 +36,11 @@
     SERVER_FULL = "server full"
     SERVER_SILENT = "server silent"
     SERVER_CROSSES_ANSWERS = "server sends answers of other requests"
+    SERVER_RESETS_STREAMS = "server resets streams"
+    SERVER_ENDS_STREAMS_EARLY = "server ends streams inside an event"
+    SERVER_UNFRAMED = "server sends answers without a length"
+    SERVER_SAYS_LEAVING = "server says in its answers that it leaves"
+    SERVICE_HOLDS_OFF = "servers of a service want nothing for a time"
     SERVER_REPLACED = "server replaced"
     KEY_REVOKED = "key revoked"
     CONFIG_CHANGED = "configuration changed"
@@ -57,12 +62,15 @@
     """Return the faults of a run in the order of their starts."""
     rng = random.Random(seed)
     choices = only or tuple(SoakFault)
+    #: Every fault is drawn once before one is drawn again.
+    left: list[SoakFault] = []
     planned = []
     at = QUIET_START
     while at < seconds - QUIET_END:
+        left = left or rng.sample(choices, len(choices))
         planned.append(
             PlannedFault(
-                rng.choice(choices),
+                left.pop(),
                 round(at, 3),
                 round(rng.uniform(MIN_DURATION, MAX_DURATION), 3),
                 rng.randrange(1_000),
--- a/src/amaranthferry/standins/deployment.py
+++ b/src/amaranthferry/standins/deployment.py
@@ -54,6 +54,7 @@
     signature: str = ""
     answered_attempt: str = ""
     complete: bool = False
+    server_leaving: bool = False
     body: str = ""
 
 
@@ -185,6 +186,7 @@
             record.answered_attempt = answer.headers.get(
                 "X-Amaranthferry-Attempt-Id", ""
             )
+            record.server_leaving = answer.headers.get("Server-Leaving") == "1"
             record.body = (await answer.read()).decode("utf-8", "replace")
             record.complete = True
     except (aiohttp.ClientError, TimeoutError):
--- a/src/amaranthferry/standins/routed.py
+++ b/src/amaranthferry/standins/routed.py
@@ -72,6 +72,8 @@
         self.cancelled: list[str] = []
         self.refused: list[str] = []
         self.on_execution: Callable[[str], None] = lambda attempt: None
+        self.on_arrival: Callable[[str], None] = lambda attempt: None
+        self.on_refusal: Callable[[str], None] = lambda attempt: None
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one request over ASGI."""
@@ -87,8 +89,10 @@
         attempt = request.headers.get("x-amaranthferry-attempt-id", "")
         if expected and expected != self.name:
             return Response(status_code=421)
+        self.on_arrival(attempt)
         if self.fault is ServerFault.FULL:
             self.refused.append(attempt)
+            self.on_refusal(attempt)
             refusal = Response(
                 status_code=503, headers={"X-Amaranthferry-Not-Executed": "1"}
             )
@@ -146,14 +150,28 @@
             return
         yield name[1:]
 
+    def _fault_of_body(self, request: Request) -> ServerFault:
+        """Return the current fault, or one that a caller can see in a plain body.
+
+        A plain body that ends in order is whole, whatever its bytes are.
+        """
+        if "x-amaranthferry-model" in request.headers:
+            return self.fault
+        if self.fault is ServerFault.END_IN_EVENT:
+            return ServerFault.NONE
+        if self.fault is ServerFault.CUT_STREAM and self.unframed:
+            return ServerFault.RESET_STREAM
+        return self.fault
+
     async def _stream(self, request: Request) -> AsyncIterator[bytes]:
+        fault = self._fault_of_body(request)
         first = int(request.headers.get("last-event-id", "-1")) + 1
         for number in range(first, self.event_count):
-            cut = self.fault in _STREAM_FAULTS and number == first + 1
+            cut = fault in _STREAM_FAULTS and number == first + 1
             if cut:
                 yield b"id: %d\ndata: ha" % number
-                if self.fault in _CUT_FAULTS:
-                    _CUT_FAULTS[self.fault](request)
+                if fault in _CUT_FAULTS:
+                    _CUT_FAULTS[fault](request)
                 return
             yield b"id: %d\ndata: %d\n\n" % (number, number)
             await asyncio.sleep(self.event_interval)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,9 +4,11 @@
     LEAVING_BOUND,
     Execution,
     Guarantee,
+    Refusal,
     SoakRecord,
     Span,
     check_guarantees,
+    count_coverage,
 )
 from amaranthferry.soak.run import Soak
 from amaranthferry.soak.schedule import QUIET_END, SoakFault, plan_faults
@@ -168,3 +170,74 @@
     record = await soak.run()
     assert check_guarantees(record) == []
     assert sum(item.status == 200 for item in record.calls) > len(record.calls) / 3
+
+
+def said_leaving(**fields):
+    return call(server_leaving=True, **fields)
+
+
+def later(sent, **fields):
+    return call(attempt="b", answered_attempt="b", sent=sent, ended=sent + 1, **fields)
+
+
+@pytest.mark.parametrize(
+    ("sent", "host", "faults", "violated"),
+    [
+        (11.0 + LEAVING_BOUND + 0.1, "host-0", [], True),
+        (11.0 + LEAVING_BOUND - 0.1, "host-0", [], False),
+        (11.0 + LEAVING_BOUND + 0.1, "host-1", [], False),
+        (11.0 + LEAVING_BOUND + 0.1, "host-0", ["host killed: host-0"], False),
+        (11.0 + LEAVING_BOUND + 0.1, "host-0", ["all hosts killed: hosts"], False),
+        (11.0 + LEAVING_BOUND + 0.1, "host-0", ["host killed: host-1"], True),
+        (11.0 + LEAVING_BOUND + 0.1, "host-0", ["store silent: store"], True),
+    ],
+)
+def test_work_after_a_server_has_said_that_it_leaves(sent, host, faults, violated):
+    record = {
+        "calls": [said_leaving(), later(sent, host=host)],
+        "arrivals": [run_at(10.5), Execution("b", "engine-1", sent + 0.1)],
+        "faults": [Span(name, 12.0, 12.5) for name in faults],
+    }
+    expected = [Guarantee.NO_WORK_TO_LEAVING] if violated else []
+    assert found(**record) == expected
+
+
+@pytest.mark.parametrize(
+    ("count", "host", "at", "violated"),
+    [
+        (3, "host-0", 11.0, True),
+        (2, "host-0", 11.0, False),
+        (3, "host-1", 11.0, False),
+        (3, "host-0", 10.4, False),
+        (3, "host-0", 13.1, False),
+    ],
+)
+def test_work_during_a_hold_off(count, host, at, violated):
+    names = [f"n{number}" for number in range(count)]
+    calls = [call(status=503, signature="", complete=False)]
+    calls += [
+        call(attempt=name, answered_attempt=name, host=host, sent=at) for name in names
+    ]
+    record = {
+        "calls": calls,
+        "arrivals": [Execution(name, "engine-1", at) for name in names],
+        "refusals": [Refusal("a", "engine-1", 10.0, 3.0)],
+    }
+    assert found(**record) == ([Guarantee.HOLD_OFF] if violated else [])
+
+
+def test_schedule_draws_every_fault_before_one_is_repeated():
+    planned = [fault.fault for fault in plan_faults(5, seconds=300)]
+    count = len(SoakFault)
+    assert len(planned) > count
+    assert set(planned[:count]) == set(SoakFault)
+
+
+def test_coverage_counts_the_calls_that_met_a_fault_at_its_server():
+    record = SoakRecord(
+        calls=[call(), later(10.2)],
+        executions=[run_at(10.5), Execution("b", "engine-2", 10.6)],
+        faults=[Span("server full: engine-1", 10.0, 12.0)],
+        servers=["engine-1", "engine-2"],
+    )
+    assert count_coverage(record) == {"server full": {CallKind.REVIEW: 1}}
