Stop relying on readers that have lost the store

Version 22 was acknowledged at 2.74 s. All other hosts went on asking the two readers, which answered with a state that had been confirmed shortly before; only when its age passed 2.0 s, at 4.57 s, did the hosts read the store in turns (reader.stood_in) and apply versions 22 and 26. A recent state was taken for a current one, though the readers knew that they couldn't learn of a change.

A reply now says if the sender's latest read of the store has failed. The state's age still counts as evidence of freshness, but the hosts begin their turns at once; a second reader that works is still used.

--- a/src/amaranthferry/gateway/store_sync.py
+++ b/src/amaranthferry/gateway/store_sync.py
@@ -275,11 +275,13 @@
             del self._pending[number]
         if update.era < self._state.era:
             return _Result.STALE
+        # A host that can't read the store learns of no change, however recent its state.
+        stale = update.store_lost or update.age > MAX_UPDATE_AGE
         if not self._apply(update):
-            return _Result.BEHIND if update.age <= MAX_UPDATE_AGE else _Result.STALE
+            return _Result.STALE if stale else _Result.BEHIND
         self._state.require_version(update.version)
         self._state.confirm(sent - update.age)
-        return _Result.CURRENT if update.age <= MAX_UPDATE_AGE else _Result.STALE
+        return _Result.STALE if stale else _Result.CURRENT
 
     def _apply(self, update: StoreUpdate) -> bool:
         """Apply an update; return whether it continues from the known position."""
@@ -343,6 +345,7 @@
             changes,
             self._state.era,
             version=self._state.version,
+            store_lost=self._state.store_lost,
         )
         self._send(sender, pack(update, limit=MAX_REPLY_BYTES))
 
--- a/src/amaranthferry/gateway/watching.py
+++ b/src/amaranthferry/gateway/watching.py
@@ -83,6 +83,11 @@
         """Return the version of the cached state, or 0 for a kind without versions."""
         return self._cache.version
 
+    @property
+    def store_lost(self) -> bool:
+        """Return whether the latest read of the store from this host has failed."""
+        return self._unavailable
+
     def require_version(self, version: SettingsVersion) -> None:
         """Distrust the state while its version is older than another host's.
 
--- a/src/amaranthferry/messages.py
+++ b/src/amaranthferry/messages.py
@@ -180,7 +180,7 @@
     the age of the read that confirmed it; an unsolicited update has the number 0 and
     confirms nothing. Large changes are compressed in `packed` instead; an update with
     an origin is forwarded along that host's tree. `version` is that of the sender's
-    active configuration.
+    active configuration, and `store_lost` tells that its latest read has failed.
     """
 
     number: int
@@ -193,6 +193,7 @@
     packed: bytes = b""
     origin: HostId = HostId("")
     version: SettingsVersion = SettingsVersion(0)
+    store_lost: bool = False
 
 
 class CoordinatorLeaving(Message, frozen=True, tag="leaving"):
--- a/tests/gateway/test_store_sync.py
+++ b/tests/gateway/test_store_sync.py
@@ -25,6 +25,8 @@
 )
 
 KIND = "servers"
+#: Bound on applying a change, on the deployments where it is smallest.
+SMALLEST_APPLY_BOUND = 2.0
 
 
 class FakeStore:
@@ -35,6 +37,7 @@
         self.unavailable = False
         self.silent_watches = False
         self.calls = 0
+        self._cuts = 0
 
     def put(self, name, spec):
         self.revision += 1
@@ -50,12 +53,18 @@
         self._call()
         deadline = boot_time() + wait
         silent = self.silent_watches and wait
+        cuts = self._cuts
         while boot_time() < deadline and (silent or not self._since(revision)):
             await asyncio.sleep(0.005)
+            if self._cuts != cuts:
+                raise StoreUnavailable("The watch was cut.", remedy="Wait.")
         if silent:
             raise StoreUnavailable("No answer.", remedy="Wait.")
         return Changes(self._since(revision), self.revision)
 
+    def cut_watches(self):
+        self._cuts += 1
+
     def _since(self, revision):
         return [c for c in self.history if c.object.revision > revision]
 
@@ -226,6 +235,23 @@
     await running
 
 
+async def test_change_is_applied_in_time_though_the_readers_have_just_been_refused():
+    network = FakeNetwork(hosts(15), wait=6.0)
+    running = asyncio.ensure_future(network.run(6.0))
+    readers = choose_readers(network.hosts)
+    await asyncio.sleep(1.0)
+    while network.age(readers[0]) > 0.05:
+        await asyncio.sleep(0.01)
+    for name in readers:
+        network.stores[name].unavailable = True
+        network.stores[name].cut_watches()
+    network.put("a", {"state": "draining"})
+    await asyncio.sleep(SMALLEST_APPLY_BOUND)
+    late = [name for name in network.hosts if not network.caches[name].objects]
+    await running
+    assert late == []
+
+
 async def test_readers_that_the_store_refuses_are_replaced():
     network = FakeNetwork(hosts(40))
     refused = [*choose_readers(network.hosts), *non_readers(network.hosts)[::2]]
