Give up a silent server only if the request can go to another one

Cause: after 1.5 s without an event (or 1.5 objectives without an answer) the dispatch of a repeatable request was broken, so that it could go to another server. Whether it could was asked afterwards: without retry budget, attempts or another usable server the request ended as unknown, though its server was still at work and nothing else would answer.

The host now asks first; while the request can't go elsewhere it keeps waiting, until its deadline. Three cases failed before (a cut stream twice, 502 once) and pass: one engine alone, a stream and a lookup without budget.

--- a/src/amaranthferry/gateway/application.py
+++ b/src/amaranthferry/gateway/application.py
@@ -26,6 +26,7 @@
 from ..platform.desired import CONFIG_KIND, SERVER_KIND
 from ..platform.settings import HostSettings
 from ..platform.store import StoreClient
+from ..running import can_rerun
 from ..shell import Shell
 from ..types import HostId, RequestId, Seconds, ShardId, StoreEra
 from .caches import ConfigCache, ServerCache
@@ -256,6 +257,11 @@
         fresh = self.freshness.is_ready(self.clock())
         return configured and fresh and not self.stopping
 
+    def can_rerun(self, request_id: RequestId) -> bool:
+        """Return whether a running request could go to another server instead."""
+        req = self.state.requests.get(request_id)
+        return req is not None and can_rerun(self.state, req)
+
     def new_request_id(self, attempt: str) -> RequestId:
         """Return the id of a caller's attempt if it is unique, or else a new one."""
         self._sequence += 1
--- a/src/amaranthferry/gateway/dispatching.py
+++ b/src/amaranthferry/gateway/dispatching.py
@@ -1,8 +1,9 @@
 """Send a request to a server and relay its answer."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from enum import Enum
+from typing import TypeVar
 
 import msgspec
 import structlog
@@ -45,6 +46,7 @@
 EVENT_STREAM = "text/event-stream"
 
 Report = Callable[[Event], None]
+_Part = TypeVar("_Part")
 _log = structlog.get_logger(__name__)
 
 
@@ -89,6 +91,7 @@
         *,
         incarnation: ServerIncarnation,
         clock: Callable[[], Seconds],
+        can_rerun: Callable[[], bool],
     ) -> None:
         self._exchange = exchange
         self._incarnation = incarnation
@@ -96,6 +99,7 @@
         self._server = server
         self._report = report
         self._clock = clock
+        self._can_rerun = can_rerun
         self._tokens: Tokens = 0
         self._reported_at: Seconds = 0.0
         self._failed = False
@@ -182,8 +186,7 @@
         )
         try:
             conn.send(call.method, call.target, sent, call.body)
-            async with asyncio.timeout(self._start_timeout()):
-                start = await conn.start()
+            start = await self._wait_for(conn.start, self._start_timeout)
             return await self._receive_answer(conn, start)
         except (BrokenAnswer, TimeoutError) as exc:
             self._log(
@@ -193,6 +196,21 @@
             )
             return _AnswerEnd.BROKEN
 
+    async def _wait_for(
+        self, read: Callable[[], Awaitable[_Part]], timeout: Callable[[], Seconds]
+    ) -> _Part:
+        """Read a part of the answer; give up a silent server only for another one.
+
+        Otherwise the server's silence would end an answer that it may still send.
+        """
+        while True:
+            try:
+                async with asyncio.timeout(timeout()):
+                    return await read()
+            except TimeoutError:
+                if self._can_rerun() or self._call.deadline <= self._clock():
+                    raise
+
     def _start_timeout(self) -> Seconds:
         """Return the timeout for the start of the answer."""
         left = max(0.0, self._call.deadline - self._clock())
@@ -265,8 +283,7 @@
         reader = EventReader(complete_only=self._call.route.resumable)
         self._reader = reader
         while True:
-            async with asyncio.timeout(self._gap_timeout()):
-                chunk = await conn.chunk()
+            chunk = await self._wait_for(conn.chunk, self._gap_timeout)
             if not chunk:
                 break
             self._count_tokens(chunk, reader)
--- a/src/amaranthferry/gateway/performer.py
+++ b/src/amaranthferry/gateway/performer.py
@@ -122,7 +122,12 @@
         waited=round(waited, 4),
     )
     dispatch = dispatching.Dispatch(
-        exchange, server, app.handle, incarnation=incarnation, clock=app.clock
+        exchange,
+        server,
+        app.handle,
+        incarnation=incarnation,
+        clock=app.clock,
+        can_rerun=lambda: app.can_rerun(effect.request_id),
     )
     exchange.task = app.spawn(dispatch.run())
     exchange.task.add_done_callback(
--- a/src/amaranthferry/retry.py
+++ b/src/amaranthferry/retry.py
@@ -24,12 +24,16 @@
         """Record a first attempt."""
         self.tokens = min(self.burst, self.tokens + self.ratio)
 
-    def take(self, now: Seconds) -> bool:
-        """Withdraw one repeated attempt and return whether the budget allows it."""
+    def allows(self, now: Seconds) -> bool:
+        """Return whether the budget allows a repeated attempt."""
         elapsed = max(0.0, now - self.refilled_at)
         self.refilled_at = now
         self.tokens = min(self.burst, self.tokens + elapsed * self.refill)
-        if self.tokens < 1.0:
+        return self.tokens >= 1.0
+
+    def take(self, now: Seconds) -> bool:
+        """Withdraw one repeated attempt and return whether the budget allows it."""
+        if not self.allows(now):
             return False
         self.tokens -= 1.0
         return True
--- a/src/amaranthferry/running.py
+++ b/src/amaranthferry/running.py
@@ -157,6 +157,25 @@
     return effects
 
 
+def can_rerun(state: HostState, req: Request) -> bool:
+    """Return whether a running request could go to another server if it failed now."""
+    arrival = req.arrival
+    attempts = len(req.tried_servers) + 1
+    if req.caller_gone or not arrival.repeatable or attempts >= arrival.max_attempts:
+        return False
+    tried = {*req.tried_servers, req.server}
+    others = (
+        name
+        for name, cfg in state.deployment.servers.items()
+        if cfg.pool == arrival.pool and name not in tried
+    )
+    usable = any(
+        name not in state.deployment.drained and not state.hold_off(name)
+        for name in others
+    )
+    return usable and state.repeat_budget(arrival.pool).allows(state.now)
+
+
 def _server_of(req: Request) -> ServerId:
     assert req.server is not None
     return req.server
--- a/tests/gateway/test_application.py
+++ b/tests/gateway/test_application.py
@@ -458,3 +458,31 @@
             assert status == 503
             assert 6.5 <= float(headers["Retry-After"]) <= 8.0
         assert len(ledger.refused) == 1
+
+
+async def test_silent_stream_that_no_other_server_can_resume_is_not_given_up():
+    async with fleet(engines=1) as (system, caller):
+        engine = system.servers["engine-0"]
+        engine.event_count, engine.event_interval = 1, 1.7
+        _, status, _, body = await caller.send_prompt(deadline=8.0)
+        assert (status, body) == (200, STREAM[: len(STREAM) // 3])
+
+
+@pytest.mark.parametrize("path", ["/ask/one", "/look/x"])
+async def test_silent_answer_is_not_given_up_without_budget_for_a_repeat(path):
+    async with fleet() as (system, caller):
+        for server in system.servers.values():
+            server.event_count, server.event_interval = 1, 1.7
+            server.processing_time = 1.0 if path == "/look/x" else 0.0
+        await caller.send("GET", "/none/x")
+        state = system.hosts[0].state
+        for pool in ("engines", "ledger"):
+            budget = state.repeat_budget(pool)
+            budget.tokens, budget.refilled_at = -100.0, system.hosts[0].clock()
+        if path == "/look/x":
+            attempt, status, *_ = await caller.send("GET", path)
+        else:
+            attempt, status, _, body = await caller.send_prompt(path, deadline=8.0)
+            assert body == STREAM[: len(STREAM) // 3]
+        assert status == 200
+        assert len(system.servers_that_ran(attempt)) == 1
