Apply a removal at once when the store was regained long ago

Only an answer ended the state of having lost the store, so the removal seemed to come just after an outage and was put off by the 2.5 s in which entries that lapsed in an outage may return.

A failed read is now followed by a short one, which shows at once whether the store answers again; and the time since which it does is when the state was first confirmed after the loss, also by other hosts, not when this host happens to read next.

--- a/src/amaranthferry/gateway/caches.py
+++ b/src/amaranthferry/gateway/caches.py
@@ -74,7 +74,7 @@
     def mark_store_unavailable(self) -> None:
         """Ignore a store outage; admission depends on the age of the cached copy."""
 
-    def mark_store_available(self) -> None:
+    def mark_store_available(self, since: Seconds) -> None:
         """Ignore the end of a store outage."""
 
 
@@ -123,9 +123,9 @@
         """Record that the store cannot be read."""
         self.roster.mark_store_unavailable()
 
-    def mark_store_available(self) -> None:
+    def mark_store_available(self, since: Seconds) -> None:
         """Record that the store can be read again."""
-        self.roster.mark_store_available(boot_time())
+        self.roster.mark_store_available(since)
 
 
 def _decode_instances(objects: list[ObjectChange]) -> list[Instance]:
--- a/src/amaranthferry/gateway/store_sync.py
+++ b/src/amaranthferry/gateway/store_sync.py
@@ -155,7 +155,9 @@
 
     async def _read_as_reader(self) -> bool:
         """Watch the store for changes; meanwhile keep the state confirmed."""
-        self._watch = watch = asyncio.ensure_future(self._reader.read(self._wait))
+        # After a failure, a short read shows at once whether the store answers again.
+        wait = 0.0 if self._state.store_lost else self._wait
+        self._watch = watch = asyncio.ensure_future(self._reader.read(wait))
         try:
             while not watch.done():
                 await asyncio.wait({watch}, timeout=CONFIRM_STEP * self._confirm_after)
--- a/src/amaranthferry/gateway/watching.py
+++ b/src/amaranthferry/gateway/watching.py
@@ -47,8 +47,11 @@
     def mark_store_unavailable(self) -> None:
         """Handle a failed read."""
 
-    def mark_store_available(self) -> None:
-        """Handle the first read after failed ones, before its result is applied."""
+    def mark_store_available(self, since: Seconds) -> None:
+        """Handle the first read after failed ones, before its result is applied.
+
+        Another host may have read the store `since` a time already.
+        """
 
 
 class SyncState:
@@ -67,6 +70,8 @@
         self._oldest_revision = 0
         self._required_version = SettingsVersion(0)
         self._unavailable = False
+        self._lost_at: Seconds = 0.0
+        self._read_by_others_at: Seconds | None = None
 
     @property
     def revision(self) -> int | None:
@@ -106,6 +111,8 @@
 
     def confirm(self, sent: Seconds) -> None:
         """Record that a read sent at a time has confirmed the state."""
+        if self._unavailable and self._read_by_others_at is None:
+            self._read_by_others_at = sent if sent > self._lost_at else None
         if self.version >= self._required_version:
             self.freshness.confirm(sent)
 
@@ -116,7 +123,7 @@
         """
         if listing.era < self.era:
             return
-        self._mark_available()
+        self._mark_available(sent)
         before = self.position
         if before is None or listing.position >= before:
             self._changes.clear()
@@ -147,7 +154,7 @@
         """Apply the changes from a watch sent at the given time."""
         if changes.era != self.era:
             return
-        self._mark_available()
+        self._mark_available(sent)
         found = [_to_change(item.object, item.deleted) for item in changes.events]
         self.advance(found, changes.at)
         self.confirm(sent)
@@ -183,13 +190,15 @@
         if not self._unavailable:
             _log.warning(LogEvent.STORE_LOST, kind=self.kind, problem=problem)
             self._unavailable = True
+            self._lost_at = boot_time()
+            self._read_by_others_at = None
         self._cache.mark_store_unavailable()
 
-    def _mark_available(self) -> None:
+    def _mark_available(self, sent: Seconds) -> None:
         if self._unavailable:
             _log.info(LogEvent.STORE_REGAINED, kind=self.kind)
             self._unavailable = False
-            self._cache.mark_store_available()
+            self._cache.mark_store_available(self._read_by_others_at or sent)
 
 
 class KindReader:
--- a/tests/gateway/test_store_sync.py
+++ b/tests/gateway/test_store_sync.py
@@ -3,9 +3,11 @@
 import pytest
 
 from amaranthferry.exceptions import StoreUnavailable
+from amaranthferry.gateway import caches, watching
 from amaranthferry.gateway.application import WATCH_WAIT
 from amaranthferry.gateway.freshness import Freshness, boot_time
 from amaranthferry.gateway.read_pace import FLEET_READ_RATE, MIN_READ_PERIOD
+from amaranthferry.gateway.roster import RETURN_GRACE
 from amaranthferry.gateway.store_sync import (
     CONFIRM_AGE,
     MAX_UPDATE_AGE,
@@ -92,7 +94,7 @@
     def mark_store_unavailable(self):
         self.unavailable += 1
 
-    def mark_store_available(self):
+    def mark_store_available(self, since):
         self.unavailable = 0
 
 
@@ -252,6 +254,40 @@
     assert late == []
 
 
+async def test_reader_whose_watch_was_cut_learns_at_once_that_the_store_answers():
+    network = FakeNetwork(hosts(8), wait=6.0)
+    running = asyncio.ensure_future(network.run(3.0))
+    await asyncio.sleep(1.0)
+    second = choose_readers(network.hosts)[1]
+    network.stores[second].cut_watches()
+    await asyncio.sleep(0.05)
+    assert network.states[second].store_lost
+    await asyncio.sleep(0.5)
+    lost = network.states[second].store_lost
+    await running
+    assert not lost
+
+
+def test_removal_long_after_an_outage_is_not_deferred(monkeypatch):
+    clock = [100.0]
+    for module in (watching, caches):
+        monkeypatch.setattr(module, "boot_time", lambda: clock[0])
+    cache = caches.ServerCache(lambda: None)
+    state = SyncState(KIND, cache, Freshness(5.0))
+    entry = {"service": "a", "address": "b:1", "zone": "z", "slots": 1, "born": 1}
+    item = StoredObject(Metadata("s", 1), {**entry, "state": "ready", "sequence": 1})
+    state.apply_list(Listing([item], 1), clock[0])
+    assert cache.roster.instances
+    state.mark_unavailable("Refused.")
+    clock[0] += 1.0
+    # The readers have state that is confirmed again, and pass it on.
+    state.confirm(clock[0])
+    clock[0] += RETURN_GRACE
+    gone = Change(StoredObject(Metadata("s", 2)), deleted=True)
+    state.apply_changes(Changes([gone], 2), clock[0])
+    assert not cache.roster.instances
+
+
 async def test_readers_that_the_store_refuses_are_replaced():
     network = FakeNetwork(hosts(40))
     refused = [*choose_readers(network.hosts), *non_readers(network.hosts)[::2]]
