--- a/src/amaranthferry/hold_off.py
+++ b/src/amaranthferry/hold_off.py
@@ -38,54 +38,47 @@
 
 
 class HoldOffs:
-    """Track the hold-offs of one server by host, or of one host by server."""
+    """Track the hold-offs of one server by host."""
 
     def __init__(self) -> None:
-        self._by_name: dict[str, HoldOff] = {}
+        self._by_host: dict[HostId, HoldOff] = {}
 
     def __bool__(self) -> bool:
-        return bool(self._by_name)
+        return bool(self._by_host)
 
-    def __len__(self) -> int:
-        return len(self._by_name)
-
-    def start(self, name: str, until: Seconds) -> bool:
+    def start(self, host: HostId, until: Seconds) -> bool:
         """Start or extend a hold-off; return whether it ends later than before."""
-        known = self._by_name.get(name)
+        known = self._by_host.get(host)
         if known is not None and known.until >= until:
             return False
-        self._by_name[name] = HoldOff(until)
+        self._by_host[host] = HoldOff(until)
         return True
 
-    def until(self, name: str) -> Seconds:
+    def until(self, host: HostId) -> Seconds:
         """Return the end of a hold-off, or 0 if there is none."""
-        known = self._by_name.get(name)
+        known = self._by_host.get(host)
         return 0.0 if known is None else known.until
 
-    def limit(self, name: str, now: Seconds) -> int | None:
+    def limit(self, host: HostId, now: Seconds) -> int | None:
         """Return how many requests may run, or None if there is no limit."""
-        known = self._by_name.get(name)
+        known = self._by_host.get(host)
         if known is None:
             return None
         return 0 if now < known.until else known.limit
 
-    def record_answer(self, name: str, now: Seconds) -> None:
+    def record_answer(self, host: HostId, now: Seconds) -> None:
         """Double the limit after an answer that followed a hold-off."""
-        known = self._by_name.get(name)
+        known = self._by_host.get(host)
         if known is not None and now >= known.until:
             known.limit *= 2
 
-    def remove(self, name: str) -> None:
-        """Drop a hold-off."""
-        self._by_name.pop(name, None)
-
-    def expire(self, now: Seconds, *, keep: Seconds = RETURN_TIME) -> list[str]:
-        """Drop the hold-offs that ended `keep` ago, and return their names."""
-        if not self._by_name:
+    def expire(self, now: Seconds, *, keep: Seconds = RETURN_TIME) -> list[HostId]:
+        """Drop the hold-offs that ended `keep` ago, and return their hosts."""
+        if not self._by_host:
             return []
         ended = [
-            name for name, item in self._by_name.items() if item.until <= now - keep
+            host for host, item in self._by_host.items() if item.until <= now - keep
         ]
-        for name in ended:
-            del self._by_name[name]
+        for host in ended:
+            del self._by_host[host]
         return ended
