Log what tells whether a prompt part ends servers

The logs could not tell a prompt that ends servers from overload or from lost connections. dispatch.broken now names the prompt's parts, how long the answer had flowed, and whether the server's process has ended, which one new connection to it tells (refused, accepted, or no reply in 0.15 s). amaranthferry_broken_runs_total{route,process} counts the same.

A stand-in server can end on a harmful prompt part and start again under a new name at its address. No decision depends on the new fields yet; the second run of a broken request waits for the connection's result.

--- a/src/amaranthferry/gateway/dispatching.py
+++ b/src/amaranthferry/gateway/dispatching.py
@@ -25,6 +25,8 @@
     AnswerStart,
     BrokenAnswer,
     HttpConnection,
+    ServerProcess,
+    check_process,
 )
 from ..messages import ServerIncarnation
 from ..platform import headers
@@ -35,6 +37,9 @@
 
 #: A lost SYN is retransmitted only after seconds; another server answers sooner.
 CONNECT_TIMEOUT: Seconds = 0.3
+#: Timeout of the connection that tells whether a server's process has ended; the
+#: request's next attempt waits for it.
+CHECK_TIMEOUT: Seconds = 0.15
 PROGRESS_PERIOD: Seconds = 0.5
 #: Multiple of the route's objective after which a repeatable request that has no
 #: answer is retried on another server.
@@ -107,6 +112,9 @@
         self.framing: AnswerFraming | None = None
         self._reader: EventReader | None = None
         self._end: _AnswerEnd | None = None
+        self._started_at: Seconds | None = None
+        #: The state of the server's process after a broken answer.
+        self.process: ServerProcess | None = None
 
     @property
     def server(self) -> ServerId:
@@ -126,6 +134,17 @@
             "partial_event": self._reader.partial_size if self._reader else 0,
         }
 
+    def _break_details(self) -> dict[str, object]:
+        """Return what tells whether a prompt may have ended the server."""
+        started = self._started_at
+        return {
+            "answering_for": None if started is None else self._age(started),
+            "parts": [f"{part.hash:x}" for part in self._call.params.parts],
+        }
+
+    def _age(self, since: Seconds) -> Seconds:
+        return round(self._clock() - since, 4)
+
     async def run(self) -> None:
         """Send the request, relay its answer and report how it ended."""
         try:
@@ -189,10 +208,16 @@
             start = await self._wait_for(conn.start, self._start_timeout)
             return await self._receive_answer(conn, start)
         except (BrokenAnswer, TimeoutError) as exc:
+            details = self.answer_details() | self._break_details()
+            if not conn.connected:
+                self.process = await check_process(
+                    self._server.address, timeout=CHECK_TIMEOUT
+                )
             self._log(
                 LogEvent.DISPATCH_BROKEN,
                 problem=str(exc) or "timeout",
-                **self.answer_details(),
+                process=self.process,
+                **details,
             )
             return _AnswerEnd.BROKEN
 
@@ -227,6 +252,7 @@
         self, conn: HttpConnection, start: AnswerStart
     ) -> _AnswerEnd:
         self.framing = start.framing
+        self._started_at = self._clock()
         origin = headers.read_answer_origin(start.fields(), start.status)
         if origin.leaving:
             self._report(
--- a/src/amaranthferry/gateway/log_events.py
+++ b/src/amaranthferry/gateway/log_events.py
@@ -66,7 +66,8 @@
     # request_id, server, status, retry_after, hold_off
     DISPATCH_NOT_RUN = "dispatch.not_run"
     DISPATCH_FAILED = "dispatch.failed"  # request_id, server, status
-    # request_id, server, problem, framing, closed_by_peer, partial_event
+    # request_id, server, problem, process, framing, closed_by_peer, partial_event,
+    # answering_for, parts
     DISPATCH_BROKEN = "dispatch.broken"
     PERMIT_GRANTED = "permit.granted"  # request_id, asker, server, queue, running
     PERMIT_REFUSED = "permit.refused"  # request_id, asker, reason, queue, slots, known
--- a/src/amaranthferry/gateway/performer.py
+++ b/src/amaranthferry/gateway/performer.py
@@ -143,6 +143,8 @@
     request_id = exchange.call.request_id
     route = exchange.call.route.name
     app.telemetry.dispatches.add(route, dispatch.end, dispatch.framing or "")
+    if dispatch.process is not None:
+        app.telemetry.broken.add(route, dispatch.process)
     if request_id in app.state.requests or (
         app.exchanges.get(request_id) is not exchange
     ):
--- a/src/amaranthferry/gateway/telemetry.py
+++ b/src/amaranthferry/gateway/telemetry.py
@@ -86,6 +86,11 @@
         self.dispatches = Counter(
             "runs", "Dispatches by end.", ("route", "end", "framing")
         )
+        self.broken = Counter(
+            "broken_runs",
+            "Broken answers by what became of the server's process.",
+            ("route", "process"),
+        )
         self.decisions = Counter("decisions", "Counts of the reducer.", ("name",))
         self.first_byte = Histogram(
             "first_byte_seconds", "From arrival to the first byte.", ("route",)
@@ -122,7 +127,12 @@
         )
 
         telemetry = self._telemetry
-        for counter in (telemetry.requests, telemetry.dispatches, telemetry.decisions):
+        for counter in (
+            telemetry.requests,
+            telemetry.dispatches,
+            telemetry.broken,
+            telemetry.decisions,
+        ):
             family = CounterMetricFamily(
                 PREFIX + counter.name, counter.text, labels=counter.labels
             )
--- a/src/amaranthferry/http_connection.py
+++ b/src/amaranthferry/http_connection.py
@@ -22,6 +22,29 @@
     """Report that an answer is truncated or is not valid HTTP; internal."""
 
 
+class ServerProcess(StrEnum):
+    """Represent what a new connection tells about a server's process."""
+
+    RUNNING = "running"
+    ENDED = "ended"
+    UNKNOWN = "unknown"
+
+
+async def check_process(address: str, *, timeout: Seconds) -> ServerProcess:
+    """Connect to `IP:PORT` to tell an ended process from a lost connection."""
+    ip, _, port = address.rpartition(":")
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout):
+            transport, _ = await loop.create_connection(asyncio.Protocol, ip, int(port))
+    except ConnectionRefusedError:
+        return ServerProcess.ENDED
+    except (OSError, TimeoutError):
+        return ServerProcess.UNKNOWN
+    transport.abort()
+    return ServerProcess.RUNNING
+
+
 class AnswerFraming(StrEnum):
     """Define what marks the end of an answer's body."""
 
--- a/src/amaranthferry/standins/routed.py
+++ b/src/amaranthferry/standins/routed.py
@@ -68,6 +68,9 @@
         self.trailer = ""
         #: Whether the server says in all its answers that it leaves.
         self.leaving = False
+        #: Hashes of prompt parts that end the process once an answer begins on them.
+        self.harmful_parts: frozenset[str] = frozenset()
+        self.on_crash: Callable[[], None] = lambda: None
         self.executed: list[ReceivedRequest] = []
         self.cancelled: list[str] = []
         self.refused: list[str] = []
@@ -164,6 +167,9 @@
         return self.fault
 
     async def _stream(self, request: Request) -> AsyncIterator[bytes]:
+        if self.harmful_parts.intersection(_shared_parts(request)):
+            self.on_crash()
+            await asyncio.sleep(HANG_DURATION)
         fault = self._fault_of_body(request)
         first = int(request.headers.get("last-event-id", "-1")) + 1
         for number in range(first, self.event_count):
@@ -175,3 +181,9 @@
                 return
             yield b"id: %d\ndata: %d\n\n" % (number, number)
             await asyncio.sleep(self.event_interval)
+
+
+def _shared_parts(request: Request) -> list[str]:
+    """Return the hashes of a prompt's parts but for the last, its own one."""
+    parts = request.headers.get("x-amaranthferry-prefix-hash", "").split(",")
+    return [part.partition(":")[0] for part in parts[:-1]]
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -10,6 +10,7 @@
 from amaranthferry.platform.settings import HostSettings
 from amaranthferry.standins.deployment import settings_text
 from amaranthferry.standins.metadata import MetadataStore
+from amaranthferry.standins.restarting import RestartingServer
 from amaranthferry.standins.routed import RoutedServer
 from amaranthferry.standins.serving import serve
 
@@ -144,6 +145,21 @@
         await self.store.put("servers", name, entry(service, self.addresses[name]))
         return server
 
+    async def add_restarting_engine(self, name, **options):
+        """Add an engine that is listed again under a new name after each crash."""
+
+        async def list_server(server):
+            for past in engine.incarnations[:-1]:
+                await self.store.remove("servers", past.name)
+            self.servers[server.name] = server
+            listed = entry("engines", engine.address)
+            await self.store.put("servers", server.name, listed)
+
+        engine = RestartingServer(name, list_server, **options)
+        await engine.start()
+        self._stack.push_async_callback(engine.stop)
+        return engine
+
     async def add_host(self, name, **bounds):
         addresses = [free_address() for _ in range(4)]
         text = settings_text(
@@ -202,8 +218,12 @@
                 body = await answer.read()
                 return attempt, answer.status, answer.headers, body
 
-    async def send_prompt(self, path="/ask/one", *, tokens="100,20", **options):
+    async def send_prompt(
+        self, path="/ask/one", *, tokens="100,20", parts="", **options
+    ):
         headers = {"X-Amaranthferry-Model": "m", "X-Amaranthferry-Token-Usage": tokens}
+        if parts:
+            headers["X-Amaranthferry-Prefix-Hash"] = parts
         return await self.send("POST", path, headers=headers, data=b"text", **options)
 
 
--- a/tests/gateway/test_application.py
+++ b/tests/gateway/test_application.py
@@ -374,6 +374,31 @@
     assert counts == {("review", end, "connection_end"): 1}
 
 
+@pytest.mark.parametrize(("crashes", "process"), [(True, "ended"), (False, "running")])
+async def test_end_of_a_server_is_told_from_a_lost_connection(
+    monkeypatch, crashes, process
+):
+    log = structlog.testing.CapturingLogger()
+    monkeypatch.setattr(dispatching, "_log", log)
+    async with fleet(engines=0) as (system, caller):
+        engine = await system.add_restarting_engine("engine")
+        (server,) = engine.incarnations
+        if crashes:
+            server.harmful_parts = frozenset({"bad"})
+        else:
+            server.fault = ServerFault.CUT_STREAM
+        await until(lambda: system.hosts[0].state.deployment.servers)
+        with contextlib.suppress(aiohttp.ClientPayloadError):
+            await caller.send_prompt("/review/one", parts="aa:10,bad:20,f1:5")
+        await until(lambda: system.hosts[0].telemetry.broken.values)
+        counts = system.hosts[0].telemetry.broken.values
+    (line,) = [line.kwargs for line in log.calls if line.args == ("dispatch.broken",)]
+    assert line["process"] == process
+    assert line["parts"] == ["aa", "bad", "f1"]
+    assert 0 <= line["answering_for"] < 1
+    assert counts == {("review", process): 1}
+
+
 async def test_answer_to_a_head_request_has_no_body_and_is_relayed():
     async with fleet() as (system, caller):
         _, status, headers, body = await caller.send("HEAD", "/look/x")
