--- a/src/amaranthferry/standins/restarting.py
+++ b/src/amaranthferry/standins/restarting.py
@@ -22,6 +22,7 @@
         on_start: Callable[[RoutedServer], Awaitable[None]],
         *,
         restart_after: Seconds = 0.5,
+        harmful_parts: frozenset[str] = frozenset(),
     ) -> None:
         self._name = name
         self._on_start = on_start
@@ -30,7 +31,9 @@
         self._restarts: set[asyncio.Task[None]] = set()
         self._port = 0
         self.address = ""
-        self.harmful_parts: frozenset[str] = frozenset()
+        self._harmful_parts = harmful_parts
+        #: Called when a prompt with a harmful part reaches the server.
+        self.on_harmful: Callable[[], None] = lambda: None
         self.incarnations: list[RoutedServer] = []
         #: Times of the event loop at which the process ended.
         self.ended_at: list[Seconds] = []
@@ -38,7 +41,8 @@
     async def start(self) -> None:
         """Start the next incarnation."""
         server = RoutedServer(f"{self._name}-{len(self.incarnations)}")
-        server.harmful_parts = self.harmful_parts
+        server.harmful_parts = self._harmful_parts
+        server.on_harmful = lambda: self.on_harmful()
         server.on_crash = lambda: self.crash(server)
         self._stack = AsyncExitStack()
         url = await self._stack.enter_async_context(serve(server, port=self._port))
--- a/src/amaranthferry/standins/routed.py
+++ b/src/amaranthferry/standins/routed.py
@@ -70,6 +70,7 @@
         self.leaving = False
         #: Hashes of prompt parts that end the process once an answer begins on them.
         self.harmful_parts: frozenset[str] = frozenset()
+        self.on_harmful: Callable[[], None] = lambda: None
         self.on_crash: Callable[[], None] = lambda: None
         self.executed: list[ReceivedRequest] = []
         self.cancelled: list[str] = []
@@ -93,6 +94,8 @@
         if expected and expected != self.name:
             return Response(status_code=421)
         self.on_arrival(attempt)
+        if self._is_harmful(request):
+            self.on_harmful()
         if self.fault is ServerFault.FULL:
             self.refused.append(attempt)
             self.on_refusal(attempt)
@@ -153,6 +156,9 @@
             return
         yield name[1:]
 
+    def _is_harmful(self, request: Request) -> bool:
+        return not self.harmful_parts.isdisjoint(_shared_parts(request))
+
     def _fault_of_body(self, request: Request) -> ServerFault:
         """Return the current fault, or one that a caller can see in a plain body.
 
@@ -167,7 +173,7 @@
         return self.fault
 
     async def _stream(self, request: Request) -> AsyncIterator[bytes]:
-        if self.harmful_parts.intersection(_shared_parts(request)):
+        if self._is_harmful(request):
             self.on_crash()
             await asyncio.sleep(HANG_DURATION)
         fault = self._fault_of_body(request)
