Let a started host ask what others know of harmful parts

A request with a held part reached a server when the host that coordinates its pool had just been restarted: the new process knew no record, others did not notice a fast restart, and records come only once a second.

Change: a host that first sees other hosts asks up to eight of them, spread over the fleet; prompts that it would place wait for one informed answer, for the answers of all that were asked, or 0.3 s. Plain services don't wait.

--- a/src/amaranthferry/coordination.py
+++ b/src/amaranthferry/coordination.py
@@ -28,7 +28,7 @@
     ServerNotice,
     ShardAdvert,
 )
-from .part_updates import exchange_parts
+from .part_updates import ask_others, check_answers, exchange_parts
 from .reducer import apply_event, receive_message
 from .registration import (
     notify_coordinators,
@@ -120,6 +120,7 @@
     for fallback in list(state.fallbacks.values()):
         effects += coordinator_reducer.reduce(fallback, event)
     effects += check_coordinators(state) + exchange_parts(state)
+    effects += check_answers(state)
     if state.now - state.registered_at >= REGISTRATION_PERIOD:
         state.registered_at = state.now
         effects += register_all(state)
@@ -149,7 +150,7 @@
     state.replace_hosts(hosts, draining)
     after = state.coordinator_hosts()
     _drop_moved_coordinators(state, after)
-    effects: list[Effect] = []
+    effects = ask_others(state)
     changed = MembersChanged(now=state.now, hosts=hosts, draining=draining)
     for coordinator in state.coordinators.values():
         effects += coordinator_reducer.reduce(coordinator, changed)
--- a/src/amaranthferry/coordinator.py
+++ b/src/amaranthferry/coordinator.py
@@ -203,6 +203,8 @@
     def caution_for(self, request: PermitRequest, now: Seconds) -> Caution | None:
         """Return the restrictions on where a request may run, or None."""
         ledger, prompt = self.harmful_parts, self.prompt_of(request)
+        if not ledger.informed and prompt.parts:
+            return Caution(frozenset(), suspects=frozenset(), waits=True)
         if not ledger.concerns(prompt):
             return None
         versions = self._versions()
--- a/src/amaranthferry/harmful_parts.py
+++ b/src/amaranthferry/harmful_parts.py
@@ -191,6 +191,8 @@
         self._sound_at: OrderedDict[PartId, Seconds] = OrderedDict()
         self._changes: list[Change] = []
         self._unsent: dict[PartId, None] = {}
+        #: Whether this host knows what the others knew when it started.
+        self.informed = True
 
     def __len__(self) -> int:
         return len(self._parts)
--- a/src/amaranthferry/messages.py
+++ b/src/amaranthferry/messages.py
@@ -18,6 +18,7 @@
     ShardId,
     StoreEra,
     Tokens,
+    UpdatePurpose,
     WorkspaceId,
     ZoneId,
 )
@@ -275,3 +276,4 @@
 
     records: tuple[PartRecord, ...]
     origin: HostId = HostId("")
+    purpose: UpdatePurpose = UpdatePurpose.NEWS
--- a/src/amaranthferry/part_updates.py
+++ b/src/amaranthferry/part_updates.py
@@ -3,7 +3,7 @@
 from .effects import CountMetric, Effect, ReportHold, ReportPart, SendToHost
 from .events import PeerReceived, RequestArrived
 from .fan_out import children
-from .granting import refuse_held
+from .granting import grant_waiting, refuse_held
 from .harmful_parts import (
     SETTLED_TIME,
     Change,
@@ -17,7 +17,7 @@
 from .reducer import receive_message
 from .requests import Request
 from .state import HostState
-from .types import HostId, PoolId, RequestState, Seconds
+from .types import HostId, PoolId, RequestState, Seconds, UpdatePurpose
 
 #: Interval at which a host compares its records with another one's.
 EXCHANGE_PERIOD: Seconds = 1.0
@@ -27,6 +27,9 @@
 RECORDS_PER_MESSAGE = 8
 #: The origin of updates that are not forwarded.
 NO_ORIGIN = HostId("")
+#: Hosts that a new host asks, and the time for which it waits for their answers.
+MAX_ASKED = 8
+ANSWER_TIMEOUT: Seconds = 0.3
 
 
 def prompt_of(arrival: RequestArrived) -> Prompt:
@@ -133,9 +136,12 @@
     hosts: list[HostId],
     records: tuple[PartRecord, ...],
     origin: HostId = NO_ORIGIN,
+    purpose: UpdatePurpose = UpdatePurpose.NEWS,
 ) -> list[Effect]:
     messages = [
-        HarmfulPartsUpdate(records[first : first + RECORDS_PER_MESSAGE], origin)
+        HarmfulPartsUpdate(
+            records[first : first + RECORDS_PER_MESSAGE], origin, purpose
+        )
         for first in range(0, len(records), RECORDS_PER_MESSAGE)
     ]
     return [SendToHost(host=h, message=message) for h in hosts for message in messages]
@@ -158,14 +164,34 @@
         if ledger.merge(record, sender, state.now)
     ]
     effects: list[Effect] = []
-    if behind and sender != state.host:
-        effects += tell(state, sender, behind)
+    match message.purpose:
+        case UpdatePurpose.QUESTION:
+            effects += _answer(state, sender)
+        case UpdatePurpose.ANSWER:
+            effects += _stop_waiting(state)
+        case UpdatePurpose.UNINFORMED_ANSWER:
+            state.parts_asked -= {sender}
+            if not state.parts_asked:
+                effects += _stop_waiting(state)
+        case UpdatePurpose.NEWS:
+            effects += tell(state, sender, behind) if sender != state.host else []
     if news and message.origin:
         targets = children(state.host, message.origin, state.hosts)
         effects += _send(targets, ledger.records(news, state.now), message.origin)
     return effects
 
 
+def _answer(state: HostState, host: HostId) -> list[Effect]:
+    """Answer a host that has started with all that is known here of accused parts."""
+    ledger = state.harmful_parts
+    accused = ledger.records(ledger.accused(MAX_EXCHANGED), state.now)
+    purpose = UpdatePurpose.UNINFORMED_ANSWER
+    if ledger.informed:
+        purpose = UpdatePurpose.ANSWER
+    last = HarmfulPartsUpdate((), purpose=purpose)
+    return [*_send([host], accused), SendToHost(host=host, message=last)]
+
+
 def exchange_parts(state: HostState) -> list[Effect]:
     """Compare the records with another host's, a different one each time.
 
@@ -186,6 +212,44 @@
     return tell(state, target, ledger.accused(MAX_EXCHANGED))
 
 
+def ask_others(state: HostState) -> list[Effect]:
+    """Ask other hosts once after the start what they know of harmful parts.
+
+    Prompts that this host would place wait for an answer, but only briefly.
+    """
+    others = [host for host in state.hosts if host != state.host]
+    if state.parts_asked_at is not None or not others:
+        return []
+    state.parts_asked_at = state.now
+    # Neighbors in the order of names are of one zone, and often restarted together.
+    step = max(1, len(others) // MAX_ASKED)
+    asked = sorted(others)[::step][:MAX_ASKED]
+    state.parts_asked = frozenset(asked)
+    state.harmful_parts.informed = False
+    question = HarmfulPartsUpdate((), purpose=UpdatePurpose.QUESTION)
+    return [SendToHost(host=host, message=question) for host in asked]
+
+
+def check_answers(state: HostState) -> list[Effect]:
+    """Stop waiting for answers after a while."""
+    asked_at = state.parts_asked_at
+    if asked_at is None or state.now - asked_at < ANSWER_TIMEOUT:
+        return []
+    return _stop_waiting(state)
+
+
+def _stop_waiting(state: HostState) -> list[Effect]:
+    """Place the prompts that waited for what other hosts know."""
+    if state.harmful_parts.informed:
+        return []
+    state.harmful_parts.informed = True
+    effects: list[Effect] = []
+    for coordinator in (*state.coordinators.values(), *state.fallbacks.values()):
+        effects += refuse_held(coordinator, state.now)
+        effects += grant_waiting(coordinator, state.now)
+    return effects
+
+
 def refuse_arrival(arrival: RequestArrived, hold: Hold) -> list[Effect]:
     """Report why a new request is refused."""
     return [
--- a/src/amaranthferry/state.py
+++ b/src/amaranthferry/state.py
@@ -85,6 +85,9 @@
     )
     parts_exchanged_at: Seconds = 0.0
     part_exchanges: int = 0
+    #: When this host asked others about harmful parts, and who has not replied.
+    parts_asked_at: Seconds | None = None
+    parts_asked: frozenset[HostId] = frozenset()
     pool_versions: dict[PoolId, frozenset[str]] = {}
     coordinator_timeout: Seconds = COORDINATOR_TIMEOUT
 
--- a/src/amaranthferry/types.py
+++ b/src/amaranthferry/types.py
@@ -68,6 +68,19 @@
     ORDER = "order"
 
 
+class UpdatePurpose(StrEnum):
+    """Represent the purpose of an update about prompt parts.
+
+    A host that has started asks others; one that has only just started itself answers
+    as uninformed.
+    """
+
+    NEWS = "news"
+    QUESTION = "question"
+    ANSWER = "answer"
+    UNINFORMED_ANSWER = "uninformed_answer"
+
+
 class PoolKind(StrEnum):
     """Distinguish model engines from plain services."""
 
--- a/tests/test_control_harm.py
+++ b/tests/test_control_harm.py
@@ -8,6 +8,7 @@
     HarmFleet,
     run_case,
 )
+from amaranthferry.events import MembersChanged
 from amaranthferry.harmful_parts import PartState
 
 CASES = [
@@ -54,6 +55,40 @@
     return fleet
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_restarted_hosts_learn_of_held_parts_before_they_send_any(seed):
+    fleet = held_fleet(HarmCase(hosts=5, seed=seed, rate=80.0))
+    arrivals = len(fleet.harmful_arrivals)
+    for name in list(fleet.hosts):
+        fleet.restart(name)
+        fleet.send(harmful=True, host=name)
+        fleet.run_until(fleet.now + 0.5)
+    assert len(fleet.harmful_arrivals) == arrivals
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_host_that_returns_from_a_partition_learns_of_held_parts(seed):
+    fleet = HarmFleet(HarmCase(hosts=5, seed=seed))
+    names = tuple(fleet.hosts)
+    cut, rest = names[0], names[1:]
+    fleet.unreachable.add(cut)
+    for name in names:
+        hosts = (cut,) if name == cut else rest
+        fleet.apply(name, MembersChanged(now=fleet.now, hosts=hosts))
+    fleet.start_load(hosts=rest)
+    fleet.run_until(CALM_TIME + 3)
+    assert HARMFUL_PART in fleet.held
+    fleet.unreachable.clear()
+    for name in names:
+        fleet.apply(name, MembersChanged(now=fleet.now, hosts=names))
+    fleet.run_until(fleet.now + 0.05)
+    arrivals = len(fleet.harmful_arrivals)
+    request_id = fleet.send(harmful=True, host=cut)
+    fleet.run_until(fleet.now + 1.0)
+    assert len(fleet.harmful_arrivals) == arrivals
+    assert request_id in fleet.refused
+
+
 def test_held_part_is_tried_by_one_request_in_the_whole_fleet():
     fleet = held_fleet(HarmCase(hosts=15, share=0.2, duration=0))
     ends = len(fleet.harmful_ends)
