Give up answers whose bytes never end

Callers waited until their deadline, and the host's memory grew with each byte, when a server sent bytes without end: in a status line, a header, headers, chunk lengths and extensions, trailers, empty lines before an answer, a body or an event.

Cause: nothing bounded what one answer may hold before it is relayed; only the request's deadline ended it.

Change: what is no body is bounded to 64 KiB and 64 times the body, a body that is read as a whole to 16 MiB, an event to 256 KiB. Beyond that the answer is broken.

--- a/src/amaranthferry/gateway/dispatching.py
+++ b/src/amaranthferry/gateway/dispatching.py
@@ -46,6 +46,7 @@
 START_TIMEOUT_OBJECTIVES = 1.5
 #: Time without an event after which a stream is resumed on another server.
 STREAM_GAP_TIMEOUT: Seconds = 1.5
+MAX_EVENT_BYTES = 256 * 1024
 MIN_REDIRECT = 300
 MIN_SERVER_ERROR = 500
 EVENT_STREAM = "text/event-stream"
@@ -317,6 +318,8 @@
                 break
             self._count_tokens(chunk, reader)
             passed = reader.feed(chunk)
+            if reader.partial_size > MAX_EVENT_BYTES:
+                raise BrokenAnswer("An event of the stream is too long.")
             self._exchange.last_event_id = (
                 reader.last_event_id or self._exchange.last_event_id
             )
--- a/src/amaranthferry/http_connection.py
+++ b/src/amaranthferry/http_connection.py
@@ -14,6 +14,12 @@
 
 #: Bytes of an answer that are buffered before reading from the socket is paused.
 MAX_BUFFERED_BYTES = 256 * 1024
+#: Bytes of an answer that are no body: its head, chunk framing and trailers. Small
+#: chunks have more framing than body.
+MAX_OVERHEAD_BYTES = 64 * 1024
+MAX_OVERHEAD_RATIO = 64
+#: Size up to which an answer is read as a whole.
+MAX_BODY_BYTES = 16 * 1024 * 1024
 #: Time without acknowledgement of sent data before a connection is closed.
 UNACKNOWLEDGED_TIMEOUT: Seconds = 3.0
 
@@ -77,6 +83,8 @@
         self._start: AnswerStart | None = None
         self._chunks: deque[bytes] = deque()
         self._buffered = 0
+        self._received = 0
+        self._body_bytes = 0
         self._complete = False
         self._framed = False
         self._bodiless = False
@@ -138,10 +146,14 @@
         if self._parser is None or self._complete:
             self._fail("Bytes were received without a pending request.")
             return
+        self._received += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as exc:
             self._fail(f"The answer is not valid HTTP: {exc}.")
+        overhead = self._received - self._body_bytes
+        if overhead > MAX_OVERHEAD_BYTES + MAX_OVERHEAD_RATIO * self._body_bytes:
+            self._fail("The answer's head, chunk framing or trailers are too long.")
         self._wake()
 
     def _fail(self, problem: str) -> None:
@@ -163,7 +175,7 @@
         self._headers, self._keep_alive = [], False
         self._bodiless = method == "HEAD"
         self._chunks.clear()
-        self._buffered = 0
+        self._buffered = self._received = self._body_bytes = 0
         lines = [f"{method} {target} HTTP/1.1"]
         lines += [f"{name}: {value}" for name, value in headers]
         if body or method not in ("GET", "HEAD", "DELETE"):
@@ -190,10 +202,13 @@
         return chunk
 
     async def body(self) -> bytes:
-        """Return the complete body; raise BrokenAnswer if it ends early."""
-        parts = []
+        """Return the body; raise BrokenAnswer if it ends early or is too long."""
+        parts, size = [], 0
         while chunk := await self.chunk():
             parts.append(chunk)
+            size += len(chunk)
+            if size > MAX_BODY_BYTES:
+                raise BrokenAnswer("The answer's body is too long.")
         return b"".join(parts)
 
     async def _wait(self) -> None:
@@ -256,6 +271,7 @@
             return
         self._chunks.append(body)
         self._buffered += len(body)
+        self._body_bytes += len(body)
         if self._buffered >= MAX_BUFFERED_BYTES and self._transport is not None:
             self._transport.pause_reading()
 
