Resume a stream that breaks late on another server

Cause: the wait after which a request is refused counted from its arrival, for repeated attempts too. A stream that had flowed for longer had no wait left, and the coordinator refused its next attempt at once (reason=deadline, free slots).

Change: a repeated attempt's wait counts from its request, up to its deadline.

Evidence: test_stream_that_breaks_late_resumes_on_another_server failed before (the connection was closed inside the answer) and passes.

--- a/src/amaranthferry/requests.py
+++ b/src/amaranthferry/requests.py
@@ -137,10 +137,15 @@
         )
 
     def _remaining_wait(self, now: Seconds) -> Seconds:
-        """Return how long the request may still wait before it is refused."""
+        """Return how long the request may still wait before it is refused.
+
+        A repeated attempt waits anew, since its caller has been waiting for a server.
+        """
         arrival = self.arrival
-        timeout = min(arrival.timeout, arrival.event_timeout or arrival.timeout)
-        return arrival.now + timeout * MAX_WAIT_FRACTION - now
+        since = now if self.tried_servers else arrival.now
+        timeout = self.deadline - since
+        timeout = min(timeout, arrival.event_timeout or timeout)
+        return since + timeout * MAX_WAIT_FRACTION - now
 
     def _remaining_objective(self, now: Seconds) -> Seconds:
         """Return the time left until the objective; negative once it has passed."""
--- a/tests/gateway/test_application.py
+++ b/tests/gateway/test_application.py
@@ -486,6 +486,20 @@
         assert len(ledger.refused) == 1
 
 
+async def test_stream_that_breaks_late_resumes_on_another_server():
+    async with fleet() as (system, caller):
+        first = system.servers["engine-0"]
+        first.fault = ServerFault.CUT_STREAM
+        first.event_interval = 1.5
+        system.servers["engine-1"].fault = ServerFault.FULL
+        sending = asyncio.create_task(caller.send_prompt(deadline=3.0))
+        await until(lambda: first.executed)
+        system.servers["engine-1"].fault = ServerFault.NONE
+        attempt, status, _, body = await sending
+        assert (status, body) == (200, STREAM)
+        assert system.servers_that_ran(attempt) == ["engine-0", "engine-1"]
+
+
 async def test_silent_stream_that_no_other_server_can_resume_is_not_given_up():
     async with fleet(engines=1) as (system, caller):
         engine = system.servers["engine-0"]
