Judge streams by their events, and by their route's objective

Callers of slow but sound streams lost what one server had made: a resumable stream was given up after 1.5 s without a byte, also where the route's objective allows longer pauses. Callers of stalled streams waited until their deadline: a comment or one byte now and then counted as progress, so the stream was never resumed.

Change: a stream makes progress by an event or 1 KiB. It is given up, if another server can go on, after 1.5 s or twice the objective for pauses without progress.

--- a/src/amaranthferry/gateway/dispatching.py
+++ b/src/amaranthferry/gateway/dispatching.py
@@ -44,8 +44,14 @@
 #: Multiple of the route's objective after which a repeatable request that has no
 #: answer is retried on another server.
 START_TIMEOUT_OBJECTIVES = 1.5
-#: Time without an event after which a stream is resumed on another server.
+#: Time without progress after which a stream is resumed on another server, at least
+#: and as a multiple of the route's objective for pauses.
 STREAM_GAP_TIMEOUT: Seconds = 1.5
+GAP_OBJECTIVES = 2.0
+#: Bytes that count as progress inside an event.
+PROGRESS_BYTES = 1_024
+#: Interval at which a stalled stream looks for another server.
+STALL_CHECK_PERIOD: Seconds = 0.25
 MAX_EVENT_BYTES = 256 * 1024
 MIN_REDIRECT = 300
 MIN_SERVER_ERROR = 500
@@ -114,6 +120,7 @@
         self._reader: EventReader | None = None
         self._end: _AnswerEnd | None = None
         self._started_at: Seconds | None = None
+        self._progress_at: Seconds = 0.0
         #: The state of the server's process after a broken answer.
         self.process: ServerProcess | None = None
 
@@ -312,12 +319,18 @@
         self._exchange.begin(start)
         reader = EventReader(complete_only=self._call.route.resumable)
         self._reader = reader
+        self._progress_at, unfinished = self._clock(), 0
         while True:
             chunk = await self._wait_for(conn.chunk, self._gap_timeout)
             if not chunk:
                 break
             self._count_tokens(chunk, reader)
             passed = reader.feed(chunk)
+            unfinished += len(chunk)
+            if reader.has_event or unfinished >= PROGRESS_BYTES:
+                self._progress_at, unfinished = self._clock(), 0
+            elif self._stalled_for() >= self._max_gap() and self._can_rerun():
+                raise BrokenAnswer("The stream brings bytes, but no event.")
             if reader.partial_size > MAX_EVENT_BYTES:
                 raise BrokenAnswer("An event of the stream is too long.")
             self._exchange.last_event_id = (
@@ -332,12 +345,20 @@
         self._exchange.finish()
         return _AnswerEnd.COMPLETE
 
+    def _max_gap(self) -> Seconds:
+        objective = self._call.route.gap_objective
+        return max(STREAM_GAP_TIMEOUT, GAP_OBJECTIVES * objective)
+
+    def _stalled_for(self) -> Seconds:
+        return self._clock() - self._progress_at
+
     def _gap_timeout(self) -> Seconds:
         left = max(0.0, self._call.deadline - self._clock())
         if self._call.route.resumable and self._exchange.dispatches < (
             self._call.route.max_attempts
         ):
-            return min(left, STREAM_GAP_TIMEOUT)
+            remaining = self._max_gap() - self._stalled_for()
+            return min(left, max(STALL_CHECK_PERIOD, remaining))
         return left
 
     def _count_tokens(self, chunk: bytes, reader: EventReader) -> None:
--- a/src/amaranthferry/gateway/sse.py
+++ b/src/amaranthferry/gateway/sse.py
@@ -16,6 +16,8 @@
         self._complete_only = complete_only
         self._buffer = b""
         self.last_event_id = ""
+        #: Whether the last bytes completed an event, not only comments.
+        self.has_event = False
 
     @property
     def partial_size(self) -> int:
@@ -36,6 +38,7 @@
         """Process bytes and return those that may be relayed."""
         data = self._buffer + chunk
         cut = _end_of_events(data)
+        self.has_event = _has_field(data[:cut])
         self._record_last_id(data[:cut])
         self._buffer = data[cut:]
         return data[:cut] if self._complete_only else chunk
@@ -51,6 +54,12 @@
                 return
 
 
+def _has_field(events: bytes) -> bool:
+    """Return whether events have a line that is no comment."""
+    lines = events.splitlines()
+    return any(line and not line.startswith(_COMMENT) for line in lines)
+
+
 def _end_of_events(data: bytes) -> int:
     """Return the index after the last blank line, or 0."""
     if b"\r" not in data:
--- a/src/amaranthferry/standins/routed.py
+++ b/src/amaranthferry/standins/routed.py
@@ -13,6 +13,8 @@
 from .serving import UnframedResponse, drop_connection, reset_connection
 
 HANG_DURATION: Seconds = 3_600.0
+#: Interval between the bytes of a stalled stream.
+STALL_INTERVAL: Seconds = 0.2
 
 
 class ServerFault(StrEnum):
@@ -26,6 +28,7 @@
     CUT_STREAM = "cut_stream"
     RESET_STREAM = "reset_stream"
     END_IN_EVENT = "end_in_event"
+    STALLED_STREAM = "stalled_stream"
     NO_ANSWER = "mute"
     UNSIGNED = "unsigned"
     WRONG_ATTEMPT_ID = "crossed"
@@ -179,6 +182,9 @@
         fault = self._fault_of_body(request)
         first = int(request.headers.get("last-event-id", "-1")) + 1
         for number in range(first, self.event_count):
+            while fault is ServerFault.STALLED_STREAM and number == first + 1:
+                yield b":\n"
+                await asyncio.sleep(STALL_INTERVAL)
             cut = fault in _STREAM_FAULTS and number == first + 1
             if cut:
                 yield b"id: %d\ndata: ha" % number
--- a/tests/gateway/test_application.py
+++ b/tests/gateway/test_application.py
@@ -500,6 +500,28 @@
         assert system.servers_that_ran(attempt) == ["engine-0", "engine-1"]
 
 
+async def test_slow_stream_within_its_objective_is_not_given_up():
+    routes = [{**route, "gapGoalMs": 1_200, "timeoutMs": 6_000} for route in ROUTES]
+    async with fleet(spec=config(routes=routes)) as (system, caller):
+        for engine in ("engine-0", "engine-1"):
+            system.servers[engine].event_interval = 1.8
+            system.servers[engine].event_count = 2
+        attempt, status, _, body = await caller.send_prompt(deadline=6.0)
+        assert (status, body) == (200, STREAM[:30])
+        assert len(system.servers_that_ran(attempt)) == 1
+
+
+async def test_stalled_stream_that_sends_bytes_now_and_then_is_resumed():
+    async with fleet(engines=1) as (system, caller):
+        system.servers["engine-0"].fault = ServerFault.STALLED_STREAM
+        sending = asyncio.create_task(caller.send_prompt(deadline=3.0))
+        await until(lambda: system.servers["engine-0"].executed)
+        await system.add_server("engines", "engine-1")
+        attempt, status, _, body = await sending
+        assert (status, body.replace(b":\n", b"")) == (200, STREAM)
+        assert system.servers_that_ran(attempt) == ["engine-0", "engine-1"]
+
+
 async def test_silent_stream_that_no_other_server_can_resume_is_not_given_up():
     async with fleet(engines=1) as (system, caller):
         engine = system.servers["engine-0"]
