Use no permit from before a suspension

A host that had been suspended for seconds acted on grants that had waited in its sockets, and one that coordinates a pool granted from its state of before: servers that had left meanwhile could get new work, and slots were given out twice.

Cause: only the periodic tick noticed a suspension; messages that were read before it were handled as if no time had passed, and a grant carries no age.

Change: each event is checked for a suspension first. Coordinators are discarded then, as they were by the tick, and a grant for what was requested before the suspension is returned and requested again.

--- a/src/amaranthferry/coordination.py
+++ b/src/amaranthferry/coordination.py
@@ -113,7 +113,7 @@
 
 @apply_event.register
 def _(event: Ticked, state: HostState) -> list[Effect]:
-    _reset_after_pause(state)
+    state.ticked_at = state.now
     effects = expire(state) + _expire_order_drains(state) + end_hold_offs(state)
     for coordinator in list(state.coordinators.values()):
         effects += coordinator_reducer.reduce(coordinator, event)
@@ -127,15 +127,16 @@
     return effects
 
 
-def _reset_after_pause(state: HostState) -> None:
-    """Discard the coordinators of this host after it was suspended.
+def reset_after_pause(state: HostState, now: Seconds) -> None:
+    """Discard what this host decided and was granted before it was suspended.
 
     Hosts that received no reply have decided permits elsewhere meanwhile, so the counts
     of running requests are wrong; hosts register their requests again on contact.
     """
-    previous, state.ticked_at = state.ticked_at, state.now
-    if previous is not None and state.now - previous > PAUSE_THRESHOLD:
-        state.coordinators.clear()
+    if state.ticked_at is None or now - state.ticked_at <= PAUSE_THRESHOLD:
+        return
+    state.coordinators.clear()
+    state.ticked_at = state.resumed_at = now
 
 
 @apply_event.register
--- a/src/amaranthferry/core.py
+++ b/src/amaranthferry/core.py
@@ -31,5 +31,6 @@
 
 def reduce(state: HostState, event: Event) -> list[Effect]:
     """Apply one event to the state and return the resulting effects."""
+    coordination.reset_after_pause(state, event.now)
     effects = reducer.reduce(state, event)
     return effects + part_updates.announce(state)
--- a/src/amaranthferry/entry.py
+++ b/src/amaranthferry/entry.py
@@ -169,6 +169,9 @@
     if req.deadline <= state.now:
         returned = return_grant(event.sender, message)
         return [returned, *refuse(state, req, RefusalReason.DEADLINE, 0.0)]
+    if req.requested_at < state.resumed_at:
+        returned = return_grant(event.sender, message)
+        return [returned, *request_permit(state, req)]
     if state.is_leaving(message.server):
         return _decline(state, req, event.sender, message)
     hold_off = state.hold_off(message.server)
--- a/src/amaranthferry/state.py
+++ b/src/amaranthferry/state.py
@@ -75,6 +75,8 @@
     pool_shards: dict[PoolId, tuple[ShardId, ...]] = {}
     repeat_budgets: dict[PoolId, RepeatBudget] = {}
     ticked_at: Seconds | None = None
+    #: End of the last suspension; permits requested before it no longer count.
+    resumed_at: Seconds = 0.0
     started_at: Seconds | None = None
     usage: dict[ShardId, UsageRecord] = {}
     lost_hosts: dict[HostId, Seconds] = {}
