Keep periodic work running after an unexpected error

After one unexpected error in it, a host went on as a process but for good without its tick (nothing expired, no coordinator was checked), without new configurations and servers, without probes of other hosts, or without timeouts of its connections.

Cause: each of these is one task; an exception ended it, was logged, and nothing started it again.

--- a/src/amaranthferry/application.py
+++ b/src/amaranthferry/application.py
@@ -44,6 +44,7 @@
 from .publish import ApplyResult, Author, set_drained
 from .shell import Shell
 from .status import HostStatus
+from .supervision import keep_running
 from .types import (
     HostId,
     RequestId,
@@ -127,7 +128,7 @@
         await self._orders.start()
         await self.settings.start()
         await self._serve_http()
-        self.spawn(self._tick())
+        self.spawn(keep_running(self._tick))
         self.spawn(self._poller.run())
         self._accepting = True
         _log.info("host.started", host=self.cfg.host, url=self.base_url)
--- a/src/amaranthferry/follower.py
+++ b/src/amaranthferry/follower.py
@@ -40,6 +40,7 @@
     SettingsVersionRequest,
     SettingsWatchRequest,
 )
+from .supervision import keep_running
 from .types import HostId, Seconds, SettingsVersion
 
 TICK_INTERVAL: Seconds = 0.5
@@ -110,7 +111,7 @@
 
     async def start(self) -> None:
         """Start to follow the settings."""
-        self._ticker = asyncio.create_task(self._tick())
+        self._ticker = asyncio.create_task(keep_running(self._tick))
 
     async def stop(self) -> None:
         """Cancel all calls and wait for them to end."""
--- a/src/amaranthferry/gateway/application.py
+++ b/src/amaranthferry/gateway/application.py
@@ -28,6 +28,7 @@
 from ..platform.store import StoreClient
 from ..running import can_rerun
 from ..shell import Shell
+from ..supervision import keep_running
 from ..types import HostId, RequestId, Seconds, ShardId, StoreEra
 from .caches import ConfigCache, ServerCache
 from .dispatching import RoutedCall
@@ -155,9 +156,9 @@
         await self._frontend.start()
         await self._metrics.start()
         for sync in self._syncs.values():
-            self.spawn(sync.run())
-        self.spawn(self._join())
-        self.spawn(self._tick())
+            self.spawn(keep_running(sync.run))
+        self.spawn(keep_running(self._join))
+        self.spawn(keep_running(self._tick))
 
     async def _join(self) -> None:
         """Join the other hosts once the shared peer key has been read.
@@ -165,9 +166,9 @@
         A restored store may hold another key; the hosts then join again with that one.
         """
         while True:
+            await self._close_peers()
             await self._open_peers(await self._directory.peer_key())
             await self._directory.run()
-            await self._close_peers()
 
     async def _open_peers(self, key: str) -> None:
         cfg = HostConfig(
--- a/src/amaranthferry/gateway/log_events.py
+++ b/src/amaranthferry/gateway/log_events.py
@@ -18,6 +18,7 @@
     HOST_STOPPED = "host.stopped"
     SIGNAL_STOP = "signal.stop"  # repeated
     SIGNAL_RELOAD = "signal.reload"  # taken
+    TASK_RESTARTED = "task.restarted"  # task, exception
     TASK_FAILED = "task.failed"  # exception; written by the shell of all hosts
     LOGS_DROPPED = "logs.dropped"  # lines
 
--- a/src/amaranthferry/membership.py
+++ b/src/amaranthferry/membership.py
@@ -11,6 +11,7 @@
 from .config import HostConfig
 from .exceptions import FrameError
 from .gossip import Member, decode_packet, encode_packet
+from .supervision import keep_running
 from .swim import (
     TICK_SECONDS,
     CandidatesSeen,
@@ -75,7 +76,7 @@
         )
         cfg = msgspec.structs.replace(self._cfg, peer_address=self.address)
         self._membership = Membership.from_config(cfg, incarnation=self._incarnation)
-        self._ticker = loop.create_task(self._tick_forever())
+        self._ticker = loop.create_task(keep_running(self._tick_forever))
 
     async def stop(self) -> None:
         """Stop without announcing it, as a crashed process would."""
--- a/src/amaranthferry/orders.py
+++ b/src/amaranthferry/orders.py
@@ -32,6 +32,7 @@
 )
 from .order_reducer import reduce_orders
 from .shards import choose_coordinator
+from .supervision import keep_running
 from .types import HostId, Seconds, ServerId, ShardId
 
 LEASE_KEY = "orders/lease"
@@ -93,7 +94,7 @@
     async def start(self) -> None:
         """Start reconciling."""
         self._session = aiohttp.ClientSession()
-        self._spawn(self._tick())
+        self._spawn(keep_running(self._tick))
 
     async def stop(self) -> None:
         """Stop sending orders, and abandon the answers to those in flight."""
--- a/src/amaranthferry/peers.py
+++ b/src/amaranthferry/peers.py
@@ -16,6 +16,7 @@
 from .handshake import NONCE_BYTES, Acceptor, Opener
 from .links import Link, PeerLimits, PeerTiming, SendResult
 from .messages import Message
+from .supervision import keep_running
 from .types import HostId, Seconds
 
 _log = structlog.get_logger(__name__)
@@ -73,7 +74,7 @@
         ip, port = _split_address(self._cfg.peer_address)
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(self._accept, ip, port)
-        self._ticker = loop.create_task(self._tick_forever())
+        self._ticker = loop.create_task(keep_running(self._tick_forever))
 
     async def stop(self) -> None:
         """Close every connection once its queued messages have been written."""
