Answer a caller at once whose dispatch failed unexpectedly

Callers waited until their deadline, and the server's connection stayed open, when an unexpected error ended the task of their dispatch: only the error was logged.

Change: the end of the task reports the dispatch as failed, with an unknown outcome, and closes its connection.

Evidence: test_caller_is_answered_at_once_after_an_unexpected_error failed before (answered at its deadline of 1 s) and passes.

--- a/src/amaranthferry/gateway/dispatching.py
+++ b/src/amaranthferry/gateway/dispatching.py
@@ -166,7 +166,7 @@
             return
         try:
             end = await self._exchange_messages(self._conn)
-        except asyncio.CancelledError:
+        except BaseException:
             self._conn.abort()
             raise
         if end is _AnswerEnd.COMPLETE:
--- a/src/amaranthferry/gateway/performer.py
+++ b/src/amaranthferry/gateway/performer.py
@@ -1,5 +1,6 @@
 """Perform the reducer's effects for routed requests."""
 
+import asyncio
 from functools import singledispatch
 from typing import TYPE_CHECKING
 
@@ -156,16 +157,23 @@
     )
     exchange.task = app.spawn(dispatch.run())
     exchange.task.add_done_callback(
-        lambda _: _finish_dispatch(performer, exchange, dispatch)
+        lambda task: _finish_dispatch(performer, exchange, dispatch, task)
     )
 
 
 def _finish_dispatch(
-    performer: Performer, exchange: RoutedExchange, dispatch: dispatching.Dispatch
+    performer: Performer,
+    exchange: RoutedExchange,
+    dispatch: dispatching.Dispatch,
+    task: "asyncio.Task[None]",
 ) -> None:
     """Count the dispatch; close the exchange unless it has been dispatched again."""
     app = performer.app
     request_id = exchange.call.request_id
+    if not task.cancelled() and task.exception() is not None:
+        # The request may have run, and nothing else would end it before its deadline.
+        exchange.unknown_dispatches += 1
+        app.handle(DispatchFailed(now=app.clock(), request_id=request_id))
     route = exchange.call.route.name
     app.telemetry.dispatches.add(route, dispatch.end, dispatch.framing or "")
     if dispatch.process is not None:
--- a/tests/gateway/test_unexpected_errors.py
+++ b/tests/gateway/test_unexpected_errors.py
@@ -5,6 +5,7 @@
 from amaranthferry.gateway.caches import ConfigCache
 from amaranthferry.membership import MembershipAgent
 from amaranthferry.peers import PeerNetwork
+from amaranthferry.platform import headers
 
 from .fleet import config, fleet
 
@@ -74,3 +75,15 @@
         await until(lambda: failing.failed)
         await asyncio.sleep(0.5)
         assert not any(host.peers._ticker.done() for host in system.hosts)
+
+
+async def test_caller_is_answered_at_once_after_an_unexpected_error(monkeypatch):
+    async with fleet() as (system, caller):
+        failing = FailsOnce(headers.read_answer_origin)
+        monkeypatch.setattr(headers, "read_answer_origin", failing)
+        began = asyncio.get_running_loop().time()
+        attempt, status, *_ = await caller.send("POST", "/pay/x", data=b"1")
+        assert asyncio.get_running_loop().time() - began < 0.5
+        assert status == 502
+        assert len(system.servers_that_ran(attempt)) == 1
+        assert (await caller.send("POST", "/pay/x", data=b"1"))[1] == 200
