Let operators list and lift held prompt parts

An operator sees what is held, why and since when, at /held-parts of a host's internal address and by `amaranthferry held-parts list`, and lifts a hold on all hosts with the peer key, which the store keeps. explain-request shows the lines about the part that a request was refused for. A new end may hold the part again.

--- a/src/amaranthferry/cli.py
+++ b/src/amaranthferry/cli.py
@@ -6,6 +6,7 @@
     cli_audit,
     cli_bench,
     cli_control,
+    cli_held_parts,
     cli_hosts,
     cli_load,
     cli_request_trace,
@@ -26,6 +27,7 @@
 app.command()(cli_hosts.status)
 app.command(name="explain-request")(cli_request_trace.explain_request)
 app.add_typer(cli_hosts.servers, name="servers")
+app.add_typer(cli_held_parts.app, name="held-parts")
 app.add_typer(cli_settings.app, name="settings")
 app.add_typer(cli_audit.app, name="audit")
 app.add_typer(cli_load.app, name="load")
--- a/src/amaranthferry/events.py
+++ b/src/amaranthferry/events.py
@@ -188,6 +188,12 @@
     server_ended: bool = False
 
 
+class PartLifted(Event, frozen=True):
+    """Report that an operator has lifted the hold on a prompt part."""
+
+    part: int
+
+
 class CallerGone(Event, frozen=True):
     """Report that the caller disconnected."""
 
--- a/src/amaranthferry/gateway/application.py
+++ b/src/amaranthferry/gateway/application.py
@@ -38,6 +38,7 @@
 from .joining import JoiningHosts
 from .listener import Listener
 from .log_events import LogEvent
+from .operator_api import OperatorApi, answer
 from .performer import Performer
 from .presence import HostDirectory
 from .store_sync import CONFIRM_AGE, StoreSync
@@ -90,6 +91,8 @@
         self.servers = ServerCache(self._apply_deployment, heartbeat=settings.heartbeat)
         self.peers: PeerNetwork | None = None
         self.telemetry = Telemetry()
+        #: The key that the hosts share; empty until it has been read.
+        self.peer_key = ""
         self.stopping = False
         self.refusing = False
         self._store = StoreClient(settings.store)
@@ -118,7 +121,7 @@
         self._readiness = Listener(self._answer_readiness, settings.readiness)
         # The deployment file refers to the last port of the range for metrics.
         metrics_address = f"{settings.address}:{settings.ports[1]}"
-        self._metrics = Listener(self._answer_metrics, metrics_address)
+        self._metrics = Listener(OperatorApi(self), metrics_address)
         self._idle = asyncio.Event()
         self._sequence = 0
 
@@ -172,6 +175,7 @@
             await self._directory.run()
 
     async def _open_peers(self, key: str) -> None:
+        self.peer_key = key
         cfg = HostConfig(
             host=self.settings.host,
             zone=self.settings.zone,
@@ -439,19 +443,4 @@
     ) -> None:
         ready = self.is_ready
         body = msgspec.json.encode({"ready": ready})
-        await _answer(send, 200 if ready else 503, b"application/json", body)
-
-    async def _answer_metrics(self, scope: Scope, receive: Receive, send: Send) -> None:
-        await _answer(
-            send, 200, b"text/plain; version=0.0.4", self.telemetry.text(self)
-        )
-
-
-async def _answer(send: Send, status: int, kind: bytes, body: bytes) -> None:
-    headers = [
-        (b"content-type", kind),
-        (b"content-length", str(len(body)).encode()),
-    ]
-    start = {"type": "http.response.start", "status": status, "headers": headers}
-    await send(start)
-    await send({"type": "http.response.body", "body": body})
+        await answer(send, 200 if ready else 503, b"application/json", body)
--- /dev/null
+++ b/src/amaranthferry/gateway/operator_api.py
@@ -0,0 +1,72 @@
+"""Serve metrics and the operators' view of held prompt parts, on the internal address."""
+
+import hmac
+from collections.abc import Awaitable, Callable, MutableMapping
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from ..events import PartLifted
+
+if TYPE_CHECKING:
+    from .application import Gateway
+
+PARTS_PATH = "/held-parts"
+LIFT_SUFFIX = "/lift"
+_JSON = b"application/json"
+_METRICS = b"text/plain; version=0.0.4"
+
+Scope = MutableMapping[str, Any]
+Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
+
+
+class OperatorApi:
+    """Answer operators as an ASGI application."""
+
+    def __init__(self, app: "Gateway") -> None:
+        self._app = app
+
+    async def __call__(self, scope: Scope, receive: Any, send: Send) -> None:
+        """Answer one request."""
+        path, method = scope["path"], scope["method"]
+        if method == "POST" and path.startswith(f"{PARTS_PATH}/"):
+            await self._lift(scope, send)
+        elif path == PARTS_PATH:
+            app = self._app
+            held = app.state.harmful_parts.held_parts(app.clock())
+            await answer(send, 200, _JSON, msgspec.json.encode(held))
+        else:
+            await answer(send, 200, _METRICS, self._app.telemetry.text(self._app))
+
+    async def _lift(self, scope: Scope, send: Send) -> None:
+        if not self._is_operator(scope):
+            await answer(send, 401, _JSON, b'{"error":"The peer key is needed."}')
+            return
+        text = scope["path"].removeprefix(f"{PARTS_PATH}/").removesuffix(LIFT_SUFFIX)
+        try:
+            part = int(text, 16)
+        except ValueError:
+            await answer(send, 400, _JSON, b'{"error":"A part is a hex number."}')
+            return
+        held = self._app.state.harmful_parts.held_parts(self._app.clock())
+        found = [item for item in held if item.part == f"{part:x}"]
+        self._app.handle(PartLifted(now=self._app.clock(), part=part))
+        status = 200 if found else 404
+        await answer(send, status, _JSON, msgspec.json.encode(found))
+
+    def _is_operator(self, scope: Scope) -> bool:
+        headers = dict(scope["headers"])
+        sent = headers.get(b"authorization", b"").removeprefix(b"Bearer ")
+        key = self._app.peer_key.encode()
+        return bool(key) and hmac.compare_digest(sent, key)
+
+
+async def answer(send: Send, status: int, kind: bytes, body: bytes) -> None:
+    """Send one whole answer."""
+    headers = [
+        (b"content-type", kind),
+        (b"content-length", str(len(body)).encode()),
+    ]
+    start = {"type": "http.response.start", "status": status, "headers": headers}
+    await send(start)
+    await send({"type": "http.response.body", "body": body})
--- a/src/amaranthferry/harmful_parts.py
+++ b/src/amaranthferry/harmful_parts.py
@@ -119,6 +119,13 @@
             if not end.acquitted and incarnation not in explained
         }
 
+    def next_trial_at(self) -> Seconds | None:
+        """Return when the part, if it is held, is tried again."""
+        if self.trials >= len(TRIAL_DELAYS):
+            return None
+        began = self.tried_at if self.trials else self.since
+        return began + TRIAL_DELAYS[self.trials]
+
     def is_familiar(self) -> bool:
         """Return whether the part had sound answers shortly before an end."""
         return any(end.familiar for end in self.accusing().values())
@@ -179,6 +186,25 @@
     trials: int
 
 
+class HeldPart(msgspec.Struct, frozen=True):
+    """Describe a held part to operators; times are in seconds.
+
+    `together_with` are parts without which it isn't held, and `next_trial` is None if
+    it is not tried again.
+    """
+
+    part: str
+    pool: PoolId
+    model: ModelId
+    version: str
+    together_with: tuple[str, ...]
+    held_for: Seconds
+    ends: int
+    requests: int
+    trials: int
+    next_trial: Seconds | None
+
+
 class HarmfulParts:
     """Track the parts that servers ended under, as one host knows them."""
 
@@ -420,10 +446,19 @@
     def is_trial_due(self, part: PartId, now: Seconds) -> bool:
         """Return whether a held part may be tried again."""
         record = self._parts.get(part)
-        if record is None or record.trials >= len(TRIAL_DELAYS):
+        if record is None or record.state is not HELD:
             return False
-        began = record.tried_at if record.trials else record.since
-        return now - began >= TRIAL_DELAYS[record.trials]
+        trial_at = record.next_trial_at()
+        return trial_at is not None and now >= trial_at
+
+    def held_parts(self, now: Seconds) -> list[HeldPart]:
+        """Return the held parts for operators, the latest first."""
+        held = [
+            _describe(part, record, now)
+            for part, record in self._parts.items()
+            if record.state is HELD
+        ]
+        return sorted(held, key=lambda item: item.held_for)
 
     def start_trial(self, part: PartId, now: Seconds) -> None:
         """Record that a held part is tried again."""
@@ -548,6 +583,23 @@
     return min(record.ends.items(), key=usefulness)[0]
 
 
+def _describe(part: PartId, record: _Part, now: Seconds) -> HeldPart:
+    ends, trial_at = record.accusing().values(), record.next_trial_at()
+    others = sorted(record.group - {part.hash})
+    return HeldPart(
+        part=f"{part.hash:x}",
+        pool=part.pool,
+        model=part.model,
+        version=part.version,
+        together_with=tuple(f"{other:x}" for other in others),
+        held_for=round(now - record.since, 3),
+        ends=len(ends),
+        requests=len({end.request_id for end in ends}),
+        trials=record.trials,
+        next_trial=None if trial_at is None else round(max(0.0, trial_at - now), 3),
+    )
+
+
 def _to_message(part: PartId, record: _Part, now: Seconds) -> PartRecord:
     ends = tuple(
         AccusingEnd(
--- a/src/amaranthferry/part_updates.py
+++ b/src/amaranthferry/part_updates.py
@@ -1,7 +1,7 @@
 """Apply and exchange evidence about prompt parts that servers ended under."""
 
 from .effects import CountMetric, Effect, ReportHold, ReportPart, SendToHost
-from .events import PeerReceived, RequestArrived
+from .events import PartLifted, PeerReceived, RequestArrived
 from .fan_out import children
 from .granting import grant_waiting, refuse_held
 from .harmful_parts import (
@@ -14,7 +14,7 @@
 )
 from .leaving import incarnation_of
 from .messages import HarmfulPartsUpdate, PartId, PartRecord
-from .reducer import receive_message
+from .reducer import apply_event, receive_message
 from .requests import Request
 from .state import HostState
 from .types import HostId, PoolId, RequestState, Seconds, UpdatePurpose
@@ -192,6 +192,12 @@
     return [*_send([host], accused), SendToHost(host=host, message=last)]
 
 
+@apply_event.register
+def _(event: PartLifted, state: HostState) -> list[Effect]:
+    state.harmful_parts.lift(event.part, state.now)
+    return []
+
+
 def exchange_parts(state: HostState) -> list[Effect]:
     """Compare the records with another host's, a different one each time.
 
--- a/src/amaranthferry/request_trace.py
+++ b/src/amaranthferry/request_trace.py
@@ -20,6 +20,8 @@
     "store.restored",
     "version.superseded",
 )
+#: Events of all hosts that tell why a request is refused for a part of its prompt.
+PART_EVENTS = ("part.suspected", "part.held", "part.cleared")
 _COMMON_FIELDS = frozenset(
     {"event", "level", "timestamp", "host", "request_id", "attempt"}
 )
@@ -81,8 +83,15 @@
             server = latest.get((host, "server", str(line.get("server", ""))))
             if server is not None and "server" in line:
                 steps.append(_step(server, context=True))
+            steps += [
+                _step(item, context=True)
+                for (_, event, part), item in latest.items()
+                if event in PART_EVENTS and part == line.get("part")
+            ]
         elif line["event"] in STATE_EVENTS:
             latest[host, str(line["event"]), str(line.get("kind", ""))] = line
+        elif line["event"] in PART_EVENTS:
+            latest["", str(line["event"]), str(line.get("part", ""))] = line
         elif str(line["event"]).startswith("server."):
             latest[host, "server", str(line.get("server", ""))] = line
     return steps
--- a/tests/gateway/test_harmful_parts.py
+++ b/tests/gateway/test_harmful_parts.py
@@ -1,10 +1,13 @@
 import asyncio
 import contextlib
 import itertools
+import json
 
 import aiohttp
 import pytest
 
+from amaranthferry.harmful_parts import PartState, Prompt
+from amaranthferry.messages import ServerIncarnation
 from amaranthferry.types import Seconds
 
 from .fleet import fleet
@@ -54,6 +57,45 @@
         await asyncio.gather(*self._tasks)
 
 
+async def test_operator_lists_and_lifts_a_hold_on_all_hosts():
+    async with fleet(engines=1, hosts=2) as (system, caller):
+        states = [host.state.harmful_parts for host in system.hosts]
+        for number in range(3):
+            states[0].accuse(
+                Prompt("engines", "m", (0xBAD,)),
+                ServerIncarnation(f"gone-{number}", number, "127.0.0.1:1"),
+                "",
+                request_id=f"r-{number}",
+                alone=(0xBAD,),
+                familiar=(),
+                now=system.hosts[0].clock() - 3 + number,
+            )
+        await until(lambda: all(state.count(PartState.HELD) for state in states))
+        url = system.metrics[1].replace("/metrics", "/held-parts")
+        async with aiohttp.ClientSession() as session:
+            async with session.get(url) as answer:
+                (held,) = await answer.json()
+            assert (held["part"], held["ends"], held["trials"]) == ("bad", 3, 0)
+            attempt, status, headers, body = await caller.send_prompt(parts="bad:1,f:1")
+            assert (status, system.servers_that_ran(attempt)) == (400, [])
+            assert headers["Outcome"] == "not_run"
+            assert "Retry-After" not in headers
+            assert json.loads(body)["type"] == "urn:amaranthferry:harmful_part"
+            for key, status in (("wrong", 401), (system.hosts[0].peer_key, 200)):
+                authorization = {"Authorization": f"Bearer {key}"}
+                lifting = session.post(f"{url}/bad/lift", headers=authorization)
+                async with lifting as answer:
+                    assert answer.status == status
+        await until(lambda: not any(state.count(PartState.HELD) for state in states))
+        assert (await caller.send_prompt(parts="bad:1,f:1"))[1] == 200
+
+
+async def until(condition):
+    async with asyncio.timeout(5):
+        while not condition():
+            await asyncio.sleep(0.02)
+
+
 @pytest.mark.parametrize("position", PROMPTS)
 async def test_prompts_that_end_servers_are_not_sent_on_after_five_ends(position):
     harmful_prompt, sound_prompt = PROMPTS[position]
--- a/tests/gateway/test_logs.py
+++ b/tests/gateway/test_logs.py
@@ -88,3 +88,18 @@
         ("a", "request.settled", False),
     ]
     assert steps[2].fields == {"version": 2}
+
+
+def test_request_trace_names_the_held_part_and_why_it_is_held():
+    held = {"event": "part.held", "part": "bad", "ends": 3}
+    other = {"event": "part.held", "part": "cc", "ends": 3}
+    refused = {"event": "request.held", "request_id": "r", "part": "bad"}
+    lines = [
+        {"timestamp": "1", "host": "a", **held},
+        {"timestamp": "1", "host": "a", **other},
+        {"timestamp": "2", "host": "b", **refused},
+    ]
+    steps = build_trace(lines, "r")
+    assert [step.event for step in steps] == ["request.held", "part.held"]
+    assert steps[1].context
+    assert steps[1].fields == {"part": "bad", "ends": 3}
