Hold prefixes that end engines on the product's own interface too

Change: a call whose engine refuses to be connected to again reports the engine's end; its prefixes are then judged like prompt parts.

Evidence: test_end_of_an_engine_is_told_from_a_lost_connection failed before. Looked at besides: work under an idempotency key runs at most once, so a key can't end several servers; a peer's message that can't be read or handled is dropped with a log line and its connection goes on.

--- a/src/amaranthferry/engine.py
+++ b/src/amaranthferry/engine.py
@@ -172,6 +172,8 @@
         self._reported_at = 0.0
         self._status = 0
         self._unstreamed_body = bytearray()
+        #: Whether the server has refused the last connection.
+        self._server_ended = False
 
     async def execute(self) -> None:
         try:
@@ -293,13 +295,14 @@
             now=self._clock(),
             request_id=self._call.request_id,
             output_tokens=self._tokens,
+            server_ended=self._server_ended,
         )
         self._report(failed)
 
     async def _try_resume(self) -> _ResumeResult:
         url = f"http://{self._server.address}/v1/streams/{self._call.request_id}"
         query = {"offset": str(self._offset)}
-        found = False
+        found = self._server_ended = False
         before = self._offset
         try:
             async with self._client.session.get(url, params=query) as answer:
@@ -311,6 +314,9 @@
                 await self._read(answer)
         except TimeoutError:
             return _ResumeResult.ALIVE if found else _ResumeResult.FAILED
+        except aiohttp.ClientConnectorError as exc:
+            self._server_ended = isinstance(exc.os_error, ConnectionRefusedError)
+            return _ResumeResult.FAILED
         except (aiohttp.ClientError, _Truncated, OSError):
             return (
                 _ResumeResult.ALIVE if self._offset > before else _ResumeResult.FAILED
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -86,3 +86,39 @@
 async def test_engine_stream_is_complete_only_with_its_end_marker(text, complete):
     ended = await dispatch([text], kind=PoolKind.ENGINE)
     assert isinstance(ended, DispatchFinished if complete else DispatchFailed)
+
+
+@pytest.mark.parametrize("ends", [True, False])
+async def test_end_of_an_engine_is_told_from_a_lost_connection(ends):
+    async def answer(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        if ends:
+            listener.close()
+        writer.close()
+
+    listener = await asyncio.start_server(answer, "127.0.0.1", 0)
+    port = listener.sockets[0].getsockname()[1]
+    server = BackendServer(
+        name=ServerId("s"),
+        pool=PoolId("p"),
+        zone=ZoneId("z"),
+        address=f"127.0.0.1:{port}",
+    )
+    call = Call(
+        request_id=RequestId("r"),
+        kind=PoolKind.ENGINE,
+        method="POST",
+        path="/call",
+        headers=(),
+        body=b"x",
+        streamed=True,
+        timeout=2.0,
+    )
+    events = []
+    client = BackendClient(idle_timeout=2.0, clock=asyncio.get_running_loop().time)
+    await client.start()
+    await client.dispatch(Exchange(call), server, events.append)
+    await client.stop()
+    listener.close()
+    assert isinstance(events[-1], DispatchFailed)
+    assert events[-1].server_ended is ends
