Let the soak's callers keep their connections open

The soak sent each request on a connection of its own, so it could not show what a stop or a late answer does to a connection that is used again. Six callers now keep theirs to each host until the host closes them or its process is gone.

--- a/src/amaranthferry/soak/run.py
+++ b/src/amaranthferry/soak/run.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 from typing import Any
 
+import aiohttp
 import msgspec
 import structlog
 
@@ -40,6 +41,9 @@
 SERVERS_PER_SERVICE = 2
 CALL_PERIOD: Seconds = 0.08
 CALL_DEADLINE: Seconds = 2.5
+CALLERS = 6
+#: Time for which a caller keeps an idle connection.
+KEPT_TIME: Seconds = 60.0
 EVENT_INTERVAL: Seconds = 0.1
 SAMPLE_PERIOD: Seconds = 0.3
 START_TIMEOUT: Seconds = 60.0
@@ -126,6 +130,7 @@
         self._version = 1
         self._tasks: list[asyncio.Task[Any]] = []
         self._busy: set[str] = set()
+        self._sessions: list[aiohttp.ClientSession] = []
         self._stack = contextlib.AsyncExitStack()
 
     async def run(self) -> SoakRecord:
@@ -157,6 +162,7 @@
         return task
 
     async def _open(self) -> None:
+        await self._open_sessions()
         url = await self._stack.enter_async_context(serve(self._store.app))
         store = url.removeprefix("http://")
         await self._write_config()
@@ -172,6 +178,13 @@
             while await self._unrecovered():
                 await asyncio.sleep(SAMPLE_PERIOD)
 
+    async def _open_sessions(self) -> None:
+        """Open callers that use a connection until its host closes it or is gone."""
+        for _ in range(CALLERS):
+            connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEPT_TIME)
+            session = aiohttp.ClientSession(connector=connector)
+            self._sessions.append(await self._stack.enter_async_context(session))
+
     async def _write_config(self) -> None:
         spec = config_spec(self._version, keys=self._keys)
         await self._store.put("config", "main", spec)
@@ -210,7 +223,10 @@
                 sent=self._now(),
             )
             self.record.calls.append(record)
-            self._spawn(call(record, host.address, deadline=CALL_DEADLINE))
+            session = self._sessions[number % len(self._sessions)]
+            self._spawn(
+                call(record, host.address, deadline=CALL_DEADLINE, session=session)
+            )
 
     async def _sample_forever(self) -> None:
         while True:
--- a/src/amaranthferry/standins/deployment.py
+++ b/src/amaranthferry/standins/deployment.py
@@ -158,8 +158,17 @@
     return "".join(f"{key}={value}\n" for key, value in lines.items())
 
 
-async def call(record: CallRecord, address: str, *, deadline: Seconds) -> None:
-    """Send the request of a record, and fill in what the caller sees."""
+async def call(
+    record: CallRecord,
+    address: str,
+    *,
+    deadline: Seconds,
+    session: aiohttp.ClientSession,
+) -> None:
+    """Send the request of a record, and fill in what the caller sees.
+
+    The session may send it on a connection that is still open from an earlier call.
+    """
     loop = asyncio.get_running_loop()
     headers = {
         "Host": CALLERS_HOST,
@@ -173,12 +182,10 @@
     url = URL(f"http://{address}/{record.kind}/{record.attempt}", encoded=True)
     method = "GET" if record.kind is CallKind.LOOK else "POST"
     timeout = aiohttp.ClientTimeout(total=deadline + 1.0)
-    connector = aiohttp.TCPConnector(force_close=True)
     try:
-        async with (
-            aiohttp.ClientSession(connector=connector, timeout=timeout) as session,
-            session.request(method, url, headers=headers) as answer,
-        ):
+        async with session.request(
+            method, url, headers=headers, timeout=timeout
+        ) as answer:
             record.status = answer.status
             record.signature = answer.headers.get(
                 "X-Amaranthferry-Server-Signature", ""
