Let the soak send prompts that end servers

A drawn fault adds a harmful part to 30% of the streaming calls for some seconds; engines end on it, start again 1 s later under a new name, and their entries go after 2.5 s. The check allows three such requests later than 3 s after the fifth end, but for hosts that were interrupted or fleets that were killed as a whole.

--- a/src/amaranthferry/soak/checks.py
+++ b/src/amaranthferry/soak/checks.py
@@ -16,6 +16,11 @@
 #: Requests that may reach a server after this time of a hold-off.
 HOLD_OFF_SLACK: Seconds = 0.5
 HOLD_OFF_ARRIVALS = 2
+#: Ends of servers under a prompt part after which, and a time, few more are sent.
+HARMFUL_ENDS = 5
+HARMFUL_ARRIVALS = 3
+CONTACT_BOUND: Seconds = 3.0
+ALL_HOSTS_KILLED = "all hosts killed: hosts"
 #: Events of a complete stream.
 EVENT_COUNT = 3
 
@@ -28,6 +33,7 @@
     COMPLETE_ANSWER = "the whole answer to its own caller"
     NO_WORK_TO_LEAVING = "a leaving server gets nothing new"
     HOLD_OFF = "a server is left alone for the time that it asks for"
+    HARMFUL_HELD = "prompts that end servers are held"
     REVOCATION = "a revoked key is refused within its bound"
     STOP_ABORTS_NOTHING = "a planned stop cuts nothing"
     CONFIG_PERSISTS = "a configuration in force never reverts"
@@ -86,6 +92,8 @@
     versions: dict[str, list[int]] = {}
     planned_stops: list[Span] = []
     unrecovered: list[str] = []
+    #: Times at which servers ended under a prompt with the harmful part.
+    harmful_ends: list[Seconds] = []
     servers: list[str] = []
 
 
@@ -98,6 +106,7 @@
         *_check_leaving(record),
         *_check_said_leaving(record),
         *_check_hold_offs(record),
+        *_check_harmful(record),
         *_check_revocation(record),
         *_check_stops(record),
         *_check_versions(record),
@@ -245,6 +254,33 @@
     )
 
 
+def _check_harmful(record: SoakRecord) -> Iterator[Violation]:
+    """Check that few harmful prompts are sent some time after the fifth end.
+
+    Hosts that are all killed at once know nothing of earlier ends.
+    """
+    calls = {call.attempt: call for call in record.calls if call.harmful}
+    forgotten = max(
+        (fault.end for fault in record.faults if fault.name == ALL_HOSTS_KILLED),
+        default=0.0,
+    )
+    ends = sorted(at for at in record.harmful_ends if at >= forgotten)
+    if len(ends) < HARMFUL_ENDS:
+        return
+    start = ends[HARMFUL_ENDS - 1] + CONTACT_BOUND
+    late = [
+        run.attempt
+        for run in record.arrivals
+        if run.attempt in calls
+        and run.at > start
+        and not _was_interrupted(
+            record, calls[run.attempt].host, run.at - CONTACT_BOUND, run.at
+        )
+    ]
+    if len(late) > HARMFUL_ARRIVALS:
+        yield Violation(Guarantee.HARMFUL_HELD, f"{late} were sent after {start:.2f} s")
+
+
 def _check_revocation(record: SoakRecord) -> Iterator[Violation]:
     runs = _runs_by_attempt(record)
     for call in record.calls:
--- a/src/amaranthferry/soak/run.py
+++ b/src/amaranthferry/soak/run.py
@@ -16,6 +16,7 @@
 from ..standins.deployment import (
     ENGINE_SERVICE,
     GRACE_TIME,
+    HARMFUL_PART,
     LEDGER_SERVICE,
     CallKind,
     CallRecord,
@@ -28,6 +29,7 @@
 from ..standins.serving import serve
 from ..types import Seconds
 from .checks import (
+    CONTACT_BOUND,
     EVENT_COUNT,
     LEAVING_BOUND,
     Execution,
@@ -38,7 +40,12 @@
 from .processes import HostProcess
 from .schedule import PlannedFault, SoakFault, plan_faults
 
-SERVERS_PER_SERVICE = 2
+SERVERS_PER_SERVICE = {ENGINE_SERVICE: 4, LEDGER_SERVICE: 2}
+#: Share of streaming calls with the harmful prompt part while such prompts are sent.
+HARMFUL_SHARE = 0.3
+#: Time from the end of a server to its next start, and to the end of its entry.
+RESTART_TIME: Seconds = 1.0
+EXPIRY_TIME: Seconds = 2.5
 CALL_PERIOD: Seconds = 0.08
 CALL_DEADLINE: Seconds = 2.5
 CALLERS = 6
@@ -84,6 +91,8 @@
         self._record = record
         self.address = ""
         self.born = 1
+        self.harmful_parts = frozenset({HARMFUL_PART})
+        self.process = contextlib.AsyncExitStack()
 
     def note_execution(self, attempt: str) -> None:
         """Record that a request begins to run."""
@@ -130,6 +139,7 @@
         self._version = 1
         self._tasks: list[asyncio.Task[Any]] = []
         self._busy: set[str] = set()
+        self._sends_harmful = False
         self._sessions: list[aiohttp.ClientSession] = []
         self._stack = contextlib.AsyncExitStack()
 
@@ -167,7 +177,7 @@
         store = url.removeprefix("http://")
         await self._write_config()
         for service in (ENGINE_SERVICE, LEDGER_SERVICE):
-            for _ in range(SERVERS_PER_SERVICE):
+            for _ in range(SERVERS_PER_SERVICE[service]):
                 await self._add_server(service)
         for number in range(self._host_count):
             host = HostProcess(f"host-{number}", store, self._folder)
@@ -197,11 +207,27 @@
         server.on_arrival = server.note_arrival
         server.on_refusal = server.note_refusal
         self.record.servers.append(server.name)
-        url = await self._stack.enter_async_context(serve(server))
+        server.on_crash = lambda: self._end_server(server)
+        await self._stack.enter_async_context(server.process)
+        url = await server.process.enter_async_context(serve(server))
         server.address = url.removeprefix("http://")
         self._servers.append(server)
         await self._write_server(server)
 
+    def _end_server(self, server: _RecordingServer) -> None:
+        """End a server's process, as its prompt does, and start another one."""
+        if server in self._servers:
+            self._servers.remove(server)
+            self.record.harmful_ends.append(self._now())
+            self._spawn(self._restart_server(server))
+
+    async def _restart_server(self, server: _RecordingServer) -> None:
+        await server.process.aclose()
+        await asyncio.sleep(RESTART_TIME)
+        await self._add_server(server.service)
+        await asyncio.sleep(EXPIRY_TIME - RESTART_TIME)
+        await self._store.remove("servers", server.name)
+
     async def _write_server(self, server: _RecordingServer) -> None:
         draining = server.name in self.record.leaving
         entry = server_entry(
@@ -222,6 +248,8 @@
                 key=self._rng.choice(revoked if use_revoked else self._keys),
                 sent=self._now(),
             )
+            if self._sends_harmful and record.kind.streaming:
+                record.harmful = self._rng.random() < HARMFUL_SHARE
             self.record.calls.append(record)
             session = self._sessions[number % len(self._sessions)]
             self._spawn(
@@ -301,6 +329,10 @@
                 server.service,
                 lambda: self._hold_off(server.service, duration),
             ),
+            SoakFault.HARMFUL_PROMPTS: (
+                "prompts",
+                lambda: self._send_harmful(duration),
+            ),
             SoakFault.KEY_REVOKED: ("config", self._revoke),
             SoakFault.CONFIG_CHANGED: ("config", self._change_config),
         }[fault]
@@ -387,6 +419,11 @@
             server.retry_after = ""
         await asyncio.sleep(wanted)
 
+    async def _send_harmful(self, duration: Seconds) -> None:
+        self._sends_harmful = True
+        await asyncio.sleep(CONTACT_BOUND + duration)
+        self._sends_harmful = False
+
     async def _revoke(self) -> None:
         revoked, self._keys = self._keys, [f"key-{next(self._numbers)}"]
         await self._change_config()
--- a/src/amaranthferry/standins/deployment.py
+++ b/src/amaranthferry/standins/deployment.py
@@ -16,6 +16,9 @@
 REVOCATION_BOUND: Seconds = 5.0
 GRACE_TIME: Seconds = 8.0
 HEARTBEAT: Seconds = 1.0
+#: Prompt parts: engines end when they begin an answer on the harmful one.
+HARMFUL_PART = "bad"
+SOUND_PART = "cc"
 
 
 class CallKind(StrEnum):
@@ -56,6 +59,8 @@
     complete: bool = False
     server_leaving: bool = False
     body: str = ""
+    #: Whether the prompt has the part that ends servers.
+    harmful: bool = False
 
 
 def config_spec(version: int, *, keys: list[str]) -> dict[str, Any]:
@@ -179,6 +184,9 @@
     if record.kind.streaming:
         headers["X-Amaranthferry-Model"] = "m"
         headers["X-Amaranthferry-Token-Usage"] = "100,20"
+        part = HARMFUL_PART if record.harmful else SOUND_PART
+        own = record.attempt.encode().hex()
+        headers["X-Amaranthferry-Prefix-Hash"] = f"aa:60,{part}:20,{own}:20"
     url = URL(f"http://{address}/{record.kind}/{record.attempt}", encoded=True)
     method = "GET" if record.kind is CallKind.LOOK else "POST"
     timeout = aiohttp.ClientTimeout(total=deadline + 1.0)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -241,3 +241,27 @@
         servers=["engine-1", "engine-2"],
     )
     assert count_coverage(record) == {"server full": {CallKind.REVIEW: 1}}
+
+
+@pytest.mark.parametrize(
+    ("at", "count", "faults", "violated"),
+    [
+        (8.1, 4, [], True),
+        (8.1, 3, [], False),
+        (7.9, 4, [], False),
+        (8.1, 4, ["host killed: host-0"], False),
+        (8.1, 4, ["host killed: host-1"], True),
+        (8.1, 4, ["all hosts killed: hosts"], False),
+    ],
+)
+def test_harmful_prompts_after_the_fifth_end(at, count, faults, violated):
+    names = [f"n{number}" for number in range(count)]
+    record = {
+        "calls": [
+            call(attempt=name, harmful=True, complete=False, sent=at) for name in names
+        ],
+        "arrivals": [Execution(name, "engine-1", at) for name in names],
+        "harmful_ends": [1.0, 2.0, 3.0, 4.0, 5.0],
+        "faults": [Span(name, 6.0, 6.5) for name in faults],
+    }
+    assert found(**record) == ([Guarantee.HARMFUL_HELD] if violated else [])
