--- a/src/amaranthferry/cli_control.py
+++ b/src/amaranthferry/cli_control.py
@@ -1,6 +1,7 @@
 """Define the `control` commands."""
 
 import asyncio
+import itertools
 from enum import StrEnum
 from typing import Annotated
 
@@ -10,11 +11,16 @@
 from .control_claims import measure_claims
 from .control_data import measure_data_path
 from .control_entry import measure_entry
+from .control_harm import HarmCase, format_harm
 from .control_members import measure_membership, measure_peers
 from .control_settings import measure_settings
 from .control_shards import measure_coordinator, measure_lookup, request_bytes
 from .slopes import Series, format_series, resident_bytes
 
+#: Smallest simulated fleet: its servers and its requests per second.
+MIN_SERVERS = 8
+MIN_RATE = 40.0
+
 
 class Component(StrEnum):
     """Represent a component whose cost is measured."""
@@ -50,6 +56,33 @@
     typer.echo(f"{request_bytes(progress):,} bytes")
 
 
+@app.command()
+def harmful_parts(
+    hosts: Annotated[list[int], typer.Option()] = [3],  # noqa: B006
+    share: Annotated[list[float], typer.Option()] = [0.1],  # noqa: B006
+    delay: Annotated[list[float], typer.Option()] = [0.001],  # noqa: B006
+    loss: Annotated[list[float], typer.Option()] = [0.0],  # noqa: B006
+    other_ends: Annotated[list[float], typer.Option()] = [0.0],  # noqa: B006
+    seeds: Annotated[int, typer.Option(min=1)] = 4,
+) -> None:
+    """Simulate prompts that end servers, for all combinations of the given values."""
+    cases = [
+        HarmCase(
+            hosts=count,
+            servers=max(MIN_SERVERS, count // 3),
+            rate=max(MIN_RATE, 1.5 * count),
+            share=part,
+            delay=wait,
+            loss=lost,
+            other_ends=ends,
+        )
+        for count, part, wait, lost, ends in itertools.product(
+            hosts, share, delay, loss, other_ends
+        )
+    ]
+    typer.echo(format_harm(cases, range(1, seeds + 1)))
+
+
 @app.command()
 def slopes(
     part: Annotated[list[Component], typer.Option()] = [],  # noqa: B006
--- a/src/amaranthferry/control_harm.py
+++ b/src/amaranthferry/control_harm.py
@@ -3,7 +3,8 @@
 import heapq
 import itertools
 import random
-from collections.abc import Callable, Sequence
+import statistics
+from collections.abc import Callable, Iterable, Sequence
 
 import msgspec
 
@@ -416,3 +417,42 @@
     fleet.start_load()
     fleet.run_until(case.duration)
     return fleet.result()
+
+
+def format_harm(cases: Iterable[HarmCase], seeds: Iterable[int]) -> str:
+    """Run each case with every seed and return a Markdown table.
+
+    Ends until a part is held, late requests and wrong holds are given as the largest
+    of the seeds, shares of served requests as the smallest.
+    """
+    lines = [
+        "| hosts | harmful | delay, s | lost | other ends a minute | ends, median and most"
+        " | held after, s | sent late | wrong holds | sound refused | served, calm"
+        " | served | updates a host | messages a host |",
+        "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |",
+    ]
+    chosen = list(seeds)
+    for case in cases:
+        results = [run_case(msgspec.structs.replace(case, seed=n)) for n in chosen]
+        calm_case = msgspec.structs.replace(case, share=0.0, other_ends=0.0)
+        calm = run_case(msgspec.structs.replace(calm_case, seed=chosen[0]))
+        ends = [result.ends for result in results]
+        held = [r.held_after for r in results if r.held_after is not None]
+        cells = (
+            case.hosts,
+            f"{case.share:.1%}",
+            f"{case.delay:g}",
+            f"{case.loss:g}",
+            f"{case.other_ends:g}",
+            f"{statistics.median(ends):g}, {max(ends)}",
+            f"{max(held):.2f} ({len(held)} of {len(results)})" if held else "-",
+            max(result.late for result in results),
+            sum(result.false_holds for result in results),
+            sum(result.sound_refused for result in results),
+            f"{calm.sound_served:.3f}",
+            f"{min(result.sound_served for result in results):.3f}",
+            round(max(result.updates for result in results) / case.hosts),
+            round(max(result.messages for result in results) / case.hosts),
+        )
+        lines.append("| " + " | ".join(str(cell) for cell in cells) + " |")
+    return "\n".join(lines)
