Let a lost release block a suspected prompt part only briefly

Found by the simulation: with 1% of messages lost, a part was held up to 3.13 s after its first end, beyond the time in touch of 3 s. A suspected part waits while another request with it runs; the permit of one whose release was lost stood for five seconds and more.

Change: a permit blocks others with the part for 1.5 s at most.

--- a/src/amaranthferry/coordinator.py
+++ b/src/amaranthferry/coordinator.py
@@ -28,6 +28,8 @@
 
 #: Fraction of its capacity that a server may fill while the shard is being rebuilt.
 REBUILD_SHARE = 0.25
+#: Time for which a suspected prompt part runs once at a time.
+MAX_ALONE_TIME: Seconds = 1.5
 ADVERT_INTERVAL: Seconds = 1.0
 MAX_ADVERTS_PER_INTERVAL = 64
 
@@ -217,11 +219,17 @@
         suspects = ledger.suspects(prompt, versions - held)
         if not held and not suspects:
             return None
-        return Caution(held, suspects=suspects, waits=self._runs_any(suspects))
+        waits = self._runs_any(suspects, now)
+        return Caution(held, suspects=suspects, waits=waits)
 
-    def _runs_any(self, parts: frozenset[int]) -> bool:
+    def _runs_any(self, parts: frozenset[int], now: Seconds) -> bool:
+        """Return whether a prompt with one of the parts may have just been sent.
+
+        An older permit counts as ended, since its release may have been lost.
+        """
         return bool(parts) and any(
-            not parts.isdisjoint(self.prompt_of(permit.request).parts)
+            now - permit.granted < MAX_ALONE_TIME
+            and not parts.isdisjoint(self.prompt_of(permit.request).parts)
             for permit in self.permits
         )
 
--- a/src/amaranthferry/soak/checks.py
+++ b/src/amaranthferry/soak/checks.py
@@ -20,6 +20,8 @@
 HARMFUL_ENDS = 5
 HARMFUL_ARRIVALS = 3
 CONTACT_BOUND: Seconds = 3.0
+#: Status of requests that are refused for a part of their prompt.
+HELD_STATUS = 400
 ALL_HOSTS_KILLED = "all hosts killed: hosts"
 #: Events of a complete stream.
 EVENT_COUNT = 3
@@ -34,6 +36,7 @@
     NO_WORK_TO_LEAVING = "a leaving server gets nothing new"
     HOLD_OFF = "a server is left alone for the time that it asks for"
     HARMFUL_HELD = "prompts that end servers are held"
+    SOUND_NOT_HELD = "sound prompts are not held"
     REVOCATION = "a revoked key is refused within its bound"
     STOP_ABORTS_NOTHING = "a planned stop cuts nothing"
     CONFIG_PERSISTS = "a configuration in force never reverts"
@@ -107,6 +110,7 @@
         *_check_said_leaving(record),
         *_check_hold_offs(record),
         *_check_harmful(record),
+        *_check_sound(record),
         *_check_revocation(record),
         *_check_stops(record),
         *_check_versions(record),
@@ -281,6 +285,14 @@
         yield Violation(Guarantee.HARMFUL_HELD, f"{late} were sent after {start:.2f} s")
 
 
+def _check_sound(record: SoakRecord) -> Iterator[Violation]:
+    for call in record.calls:
+        if call.status == HELD_STATUS and not call.signature and not call.harmful:
+            yield Violation(
+                Guarantee.SOUND_NOT_HELD, f"{call.attempt} was refused at {call.host}"
+            )
+
+
 def _check_revocation(record: SoakRecord) -> Iterator[Violation]:
     runs = _runs_by_attempt(record)
     for call in record.calls:
--- a/tests/test_control_harm.py
+++ b/tests/test_control_harm.py
@@ -3,6 +3,7 @@
 
 from amaranthferry.control_harm import (
     CALM_TIME,
+    CONTACT_TIME,
     HARMFUL_PART,
     HarmCase,
     HarmFleet,
@@ -43,6 +44,12 @@
     assert result.sound_served >= 0.97
 
 
+@pytest.mark.parametrize("seed", range(1, 5))
+def test_lost_release_of_a_suspected_prompt_does_not_delay_the_hold(seed):
+    result = run_case(HarmCase(hosts=15, loss=0.01, seed=seed))
+    assert result.held_after < CONTACT_TIME
+
+
 def held_fleet(case):
     """Return a fleet that holds the harmful part."""
     fleet = HarmFleet(case)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -265,3 +265,9 @@
         "faults": [Span(name, 6.0, 6.5) for name in faults],
     }
     assert found(**record) == ([Guarantee.HARMFUL_HELD] if violated else [])
+
+
+@pytest.mark.parametrize(("harmful", "violated"), [(False, True), (True, False)])
+def test_prompt_that_is_refused_as_harmful(harmful, violated):
+    calls = [call(status=400, signature="", harmful=harmful)]
+    assert found(calls=calls) == ([Guarantee.SOUND_NOT_HELD] if violated else [])
