Let simulated hosts apply the newest host list

Two changes within 0.2 s reached a host in random order, and the older list stayed; servers were missing for the rest of the run.

--- a/src/amaranthferry/control_harm.py
+++ b/src/amaranthferry/control_harm.py
@@ -56,6 +56,8 @@
 EXPIRY_TIME: Seconds = 2.7
 PREFILL_TIME: Seconds = 0.08
 ANSWER_TIME: Seconds = 0.4
+#: Time until a host learns of a change of the host list.
+MAX_LIST_DELAY: Seconds = 0.2
 #: Time of sound requests alone before the first harmful one.
 CALM_TIME: Seconds = 5.0
 #: Time for which hosts may still send harmful requests after the fifth end.
@@ -245,14 +247,13 @@
         return compile_catalog(catalog, dict(self._listed), limits)
 
     def _list_servers(self) -> None:
-        deployment = self._deployment()
         for name in self.hosts:
-            self.at(
-                self.now + self.rng.uniform(0.0, 0.2),
-                lambda name=name: self.apply(  # type: ignore[misc]
-                    name, SettingsApplied(now=self.now, deployment=deployment)
-                ),
-            )
+            delay = self.rng.uniform(0.0, MAX_LIST_DELAY)
+            self.at(self.now + delay, lambda name=name: self._list_at(name))  # type: ignore[misc]
+
+    def _list_at(self, name: HostId) -> None:
+        applied = SettingsApplied(now=self.now, deployment=self._deployment())
+        self.apply(name, applied)
 
     # Servers.
 
