Count a request once against a part that sound requests share

Cause: the three ends that hold a familiar part were two runs of one request and one of another; while servers end each second, a second run soon meets the next end.

Change: such ends count once a request.

--- a/src/amaranthferry/harmful_parts.py
+++ b/src/amaranthferry/harmful_parts.py
@@ -27,7 +27,8 @@
 HOLD_AFTER_ENDS = 3
 #: Ends after which a part is held though no request with it ran alone.
 HOLD_AFTER_ANY_ENDS = 5
-#: Ends after which a familiar part runs alone, and further ends after which it is held.
+#: Ends after which a familiar part runs alone, and requests that end a server then,
+#: after which it is held.
 FAMILIAR_ENDS = 3
 FAMILIAR_ALONE_ENDS = 3
 #: Requests of which a held part must have been part.
@@ -144,9 +145,11 @@
             return CLEAR
         if len({end.request_id for end in ends}) < MIN_REQUESTS:
             return SUSPECTED
-        alone = _count_moments(end.at for end in ends if end.alone)
+        alone = {end.request_id: end.at for end in ends if end.alone}
         if self.is_familiar():
-            return HELD if alone >= FAMILIAR_ALONE_ENDS else SUSPECTED
+            # A second run of one request says little about what many others share.
+            count = _count_moments(alone.values())
+            return HELD if count >= FAMILIAR_ALONE_ENDS else SUSPECTED
         needed = HOLD_AFTER_ENDS if alone else HOLD_AFTER_ANY_ENDS
         count = _count_moments(end.at for end in ends)
         return HELD if count >= needed else SUSPECTED
--- a/tests/test_harmful_parts.py
+++ b/tests/test_harmful_parts.py
@@ -200,6 +200,25 @@
     assert evidence.is_held(prompt(BAD))
 
 
+def test_second_runs_of_two_requests_do_not_get_a_familiar_part_held():
+    evidence = Evidence()
+    evidence.sound(prompt(SHARED))
+    for _ in range(FAMILIAR_ENDS):
+        evidence.end(prompt(SHARED), after=0.5)
+    for number in range(4):
+        evidence.now += 0.5
+        evidence.ledger.accuse(
+            prompt(SHARED),
+            ServerIncarnation(f"t-{number}", 1, "a:1"),
+            "",
+            request_id=f"twice-{number // 2}",
+            alone=(SHARED,),
+            familiar=(SHARED,),
+            now=evidence.now,
+        )
+    assert not evidence.is_held(prompt(SHARED))
+
+
 def test_ends_under_a_held_part_accuse_no_other_part():
     evidence = Evidence()
     evidence.sound(prompt(SHARED))
