Let a familiar part run freely until four ends

A familiar part that has become harmful is held after at most nine ends; with two attempts a request, at most three of them are later than the time in touch after the fifth.

--- a/src/amaranthferry/harmful_parts.py
+++ b/src/amaranthferry/harmful_parts.py
@@ -29,7 +29,7 @@
 HOLD_AFTER_ANY_ENDS = 5
 #: Ends after which a familiar part runs alone, and requests that end a server then,
 #: after which it is held.
-FAMILIAR_ENDS = 3
+FAMILIAR_ENDS = 4
 FAMILIAR_ALONE_ENDS = 3
 #: Requests of which a held part must have been part.
 MIN_REQUESTS = 2
