--- a/src/amaranthferry/effects.py
+++ b/src/amaranthferry/effects.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from .harmful_parts import Change, Hold
+from .harmful_parts import Hold, PartChange
 from .messages import Message, ServerIncarnation
 from .types import (
     HostId,
@@ -90,7 +90,7 @@
 class ReportPart(Effect, frozen=True):
     """Report a change of what is believed of a prompt part."""
 
-    change: Change
+    change: PartChange
 
 
 class ReportTrial(Effect, frozen=True):
--- a/src/amaranthferry/harmful_parts.py
+++ b/src/amaranthferry/harmful_parts.py
@@ -164,7 +164,7 @@
     return count
 
 
-class Change(msgspec.Struct, frozen=True):
+class PartChange(msgspec.Struct, frozen=True):
     """Describe a change of what is believed of a part.
 
     `lasted` is the time for which the state before lasted, and `source` is the host
@@ -218,7 +218,7 @@
         #: How many records accuse a part, by its hash.
         self._accused: Counter[int] = Counter()
         self._sound_at: OrderedDict[PartId, Seconds] = OrderedDict()
-        self._changes: list[Change] = []
+        self._changes: list[PartChange] = []
         self._unsent: dict[PartId, None] = {}
         #: Whether this host knows what the others knew when it started.
         self.informed = True
@@ -357,7 +357,7 @@
         if state is before:
             return
         ends = record.accusing().values()
-        change = Change(
+        change = PartChange(
             part=part,
             state=state,
             before=before,
@@ -375,7 +375,7 @@
             record.trials = 0
         record.state, record.since = state, now
 
-    def take_changes(self) -> list[Change]:
+    def take_changes(self) -> list[PartChange]:
         """Return the changes since the last call."""
         changes, self._changes = self._changes, []
         return changes
--- a/src/amaranthferry/part_updates.py
+++ b/src/amaranthferry/part_updates.py
@@ -6,8 +6,8 @@
 from .granting import grant_waiting, refuse_held
 from .harmful_parts import (
     SETTLED_TIME,
-    Change,
     Hold,
+    PartChange,
     PartState,
     Prompt,
     shared_parts,
@@ -113,7 +113,7 @@
     return effects + _refuse_waiting(state, changes)
 
 
-def _refuse_waiting(state: HostState, changes: list[Change]) -> list[Effect]:
+def _refuse_waiting(state: HostState, changes: list[PartChange]) -> list[Effect]:
     if not any(change.state is PartState.HELD for change in changes):
         return []
     effects: list[Effect] = []
