--- a/src/amaranthferry/gateway/log_events.py
+++ b/src/amaranthferry/gateway/log_events.py
@@ -45,6 +45,8 @@
     PART_SUSPECTED = "part.suspected"
     PART_HELD = "part.held"
     PART_CLEARED = "part.cleared"
+    PART_LIFTED = "part.lifted"  # part, holds; by an operator at this host
+    PART_LIFT_REFUSED = "part.lift_refused"  # path; without the peer key
     PART_TRIED = "part.tried"  # part, request_id, server, held_for, ends, trials
     STORE_LOST = "store.lost"  # kind, problem
     STORE_REGAINED = "store.regained"  # kind
--- a/src/amaranthferry/gateway/operator_api.py
+++ b/src/amaranthferry/gateway/operator_api.py
@@ -5,8 +5,10 @@
 from typing import TYPE_CHECKING, Any
 
 import msgspec
+import structlog
 
 from ..events import PartLifted
+from .log_events import LogEvent
 
 if TYPE_CHECKING:
     from .application import Gateway
@@ -16,6 +18,8 @@
 _JSON = b"application/json"
 _METRICS = b"text/plain; version=0.0.4"
 
+_log = structlog.get_logger(__name__)
+
 Scope = MutableMapping[str, Any]
 Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
 
@@ -40,6 +44,7 @@
 
     async def _lift(self, scope: Scope, send: Send) -> None:
         if not self._is_operator(scope):
+            _log.warning(LogEvent.PART_LIFT_REFUSED, path=scope["path"])
             await answer(send, 401, _JSON, b'{"error":"The peer key is needed."}')
             return
         text = scope["path"].removeprefix(f"{PARTS_PATH}/").removesuffix(LIFT_SUFFIX)
@@ -50,6 +55,7 @@
             return
         held = self._app.state.harmful_parts.held_parts(self._app.clock())
         found = [item for item in held if item.part == f"{part:x}"]
+        _log.info(LogEvent.PART_LIFTED, part=f"{part:x}", holds=len(found))
         self._app.handle(PartLifted(now=self._app.clock(), part=part))
         status = 200 if found else 404
         await answer(send, status, _JSON, msgspec.json.encode(found))
