Log and count who decides on permits, how late it is and what it withholds

What callers saw isn't changed, nor any decision.

New lines: host.lagging, shard.waiting, fallback.started and .ended, server.backed_off, permit.returned; time in the queue with permit.granted, decided_by with dispatches. New metrics: tick_late_seconds, deciding, idle_slots, permit_requests, shard_servers, rejections. Lines about late ticks, queues and backoffs are bounded by time, the others by the requests that they are about.

--- /dev/null
+++ b/src/amaranthferry/availability.py
@@ -0,0 +1,59 @@
+"""Tell why a coordinator's servers get new work or none."""
+
+from collections import Counter
+from enum import StrEnum
+from math import ceil
+
+from .coordinator import REBUILD_SHARE, Coordinator
+from .objectives import MAX_PREFILL_BACKLOG
+from .servers import ServerRecord
+from .types import Seconds
+
+
+class Availability(StrEnum):
+    """Represent the first reason why a server gets no new work, or that it gets some."""
+
+    FREE = "free"
+    FULL = "full"
+    NOT_LIVE = "not_live"
+    BACKED_OFF = "backed_off"
+    STRAGGLING = "straggling"
+    PREFILL_BACKLOG = "prefill_backlog"
+
+
+def availability_of(
+    record: ServerRecord, now: Seconds, *, share: float = 1.0
+) -> Availability:
+    """Return whether a server gets new work, filled up to a share of its slots."""
+    if not record.accepts_work:
+        return Availability.NOT_LIVE
+    if now < record.blocked_until:
+        return Availability.BACKED_OFF
+    if not record.straggler.may_probe(now):
+        return Availability.STRAGGLING
+    if record.prefill_starts(now) > now + MAX_PREFILL_BACKLOG:
+        return Availability.PREFILL_BACKLOG
+    slots = record.cfg.slots * record.straggler.share * share
+    if ceil(max(1.0, slots)) <= len(record.permits):
+        return Availability.FULL
+    return Availability.FREE
+
+
+def count_servers(coordinator: Coordinator, now: Seconds) -> dict[Availability, int]:
+    """Return the number of a shard's servers by availability."""
+    share = REBUILD_SHARE if coordinator.is_rebuilding(now) else 1.0
+    return dict(
+        Counter(
+            availability_of(record, now, share=share)
+            for record in coordinator.servers.values()
+        )
+    )
+
+
+def idle_slots(coordinator: Coordinator) -> int:
+    """Return the slots of live servers that no permit uses, whether granted or not."""
+    return sum(
+        max(0, record.cfg.slots - len(record.permits))
+        for record in coordinator.servers.values()
+        if record.accepts_work
+    )
--- a/src/amaranthferry/coordinator_reducer.py
+++ b/src/amaranthferry/coordinator_reducer.py
@@ -3,7 +3,7 @@
 from functools import singledispatch
 
 from .coordinator import Coordinator
-from .effects import Effect, ObserveMetric
+from .effects import CountMetric, Effect, ObserveMetric, ReportBackoff
 from .events import (
     CacheEventSeen,
     Event,
@@ -33,7 +33,7 @@
     Registration,
 )
 from .servers import Permit
-from .types import HostId, Seconds
+from .types import BackoffReason, HostId, Seconds
 
 
 def reduce(coordinator: Coordinator, event: Event) -> list[Effect]:
@@ -196,17 +196,35 @@
         permit.server.hold_offs.start(sender, now + message.hold_off)
     elif message.dispatched and not message.failed:
         permit.server.hold_offs.record_answer(sender, now)
+    effects: list[Effect] = []
     if not message.dispatched:
         if message.hold_off <= 0:
             permit.server.record_failed_dispatch(now)
+            effects += _report_backoff(permit, message, now)
     else:
         permit.server.reset_dispatch_failures()
         attempts = len(permit.request.excluded)
         coordinator.permits.close(message.request_id, now, attempts=attempts)
-    effects = refuse_held_off(coordinator, sender, now) if message.hold_off > 0 else []
+    if message.hold_off > 0:
+        effects += refuse_held_off(coordinator, sender, now)
     return effects + grant_waiting(coordinator, now)
 
 
+def _report_backoff(
+    permit: Permit, message: PermitRelease, now: Seconds
+) -> list[Effect]:
+    reason = BackoffReason.UNREACHED if message.failed else BackoffReason.GRANT_RETURNED
+    report = ReportBackoff(
+        shard=message.shard,
+        server=message.server,
+        host=permit.host,
+        request_id=message.request_id,
+        reason=reason,
+        duration=permit.server.blocked_until - now,
+    )
+    return [report, CountMetric(name=f"server.backoffs.{reason}")]
+
+
 def _record_result(
     coordinator: Coordinator, permit: Permit, message: PermitRelease, now: Seconds
 ) -> None:
--- a/src/amaranthferry/effects.py
+++ b/src/amaranthferry/effects.py
@@ -5,13 +5,17 @@
 from .harmful_parts import Hold, PartChange
 from .messages import Message, ServerIncarnation
 from .types import (
+    BackoffReason,
+    FallbackCause,
     HostId,
     Outcome,
     RefusalReason,
     RequestId,
+    ReturnReason,
     Seconds,
     ServerId,
     ServerSignal,
+    ShardId,
     StoreOutageRule,
     WorkspaceId,
 )
@@ -108,6 +112,50 @@
     hold: Hold
 
 
+class ReportReturn(Effect, frozen=True):
+    """Report that a grant was returned unused; `age` is that of the permit request."""
+
+    request_id: RequestId
+    shard: ShardId
+    coordinator: HostId
+    server: ServerId
+    reason: ReturnReason
+    age: Seconds | None = None
+
+
+class ReportBackoff(Effect, frozen=True):
+    """Report that a coordinator gives a server no work for a while."""
+
+    shard: ShardId
+    server: ServerId
+    host: HostId
+    request_id: RequestId
+    reason: BackoffReason
+    duration: Seconds
+
+
+class ReportFallbackStart(Effect, frozen=True):
+    """Report that this host decides a shard's permits itself.
+
+    `silent` is the time without a message from the coordinator, or None if it sent none.
+    """
+
+    shard: ShardId
+    coordinator: HostId
+    cause: FallbackCause
+    silent: Seconds | None
+    waiting: int
+
+
+class ReportFallbackEnd(Effect, frozen=True):
+    """Report that a shard's coordinator decides this host's permits again."""
+
+    shard: ShardId
+    coordinator: HostId
+    lasted: Seconds
+    waiting: int
+
+
 class CountMetric(Effect, frozen=True):
     """Add to a counter."""
 
--- a/src/amaranthferry/entry.py
+++ b/src/amaranthferry/entry.py
@@ -11,6 +11,7 @@
     MakeClaim,
     ObserveMetric,
     ReplayAnswer,
+    ReportReturn,
     SendToHost,
     SettleRequest,
 )
@@ -35,6 +36,7 @@
     RefusalReason,
     RequestId,
     RequestState,
+    ReturnReason,
     Seconds,
     ShardId,
     StoreOutageRule,
@@ -165,26 +167,32 @@
         running = req is not None and req.is_running and req.server == message.server
         if running and req is not None and req.permit_host == event.sender:
             return []
-        return [return_grant(event.sender, message)]
+        reason = (
+            ReturnReason.REQUEST_GONE if req is None else ReturnReason.GRANTED_ELSEWHERE
+        )
+        return _return_grant(state, event.sender, message, reason)
     if req.deadline <= state.now:
-        returned = return_grant(event.sender, message)
-        return [returned, *refuse(state, req, RefusalReason.DEADLINE, 0.0)]
+        returned = _return_grant(state, event.sender, message, ReturnReason.EXPIRED)
+        return [*returned, *refuse(state, req, RefusalReason.DEADLINE, 0.0)]
     if req.requested_at < state.resumed_at:
-        returned = return_grant(event.sender, message)
-        return [returned, *request_permit(state, req)]
+        returned = _return_grant(state, event.sender, message, ReturnReason.SUSPENDED)
+        return [*returned, *request_permit(state, req)]
     if state.is_leaving(message.server):
         return _decline(state, req, event.sender, message)
     hold_off = state.hold_off(message.server)
     if hold_off > 0:
-        returned = return_grant(event.sender, message, hold_off=hold_off)
-        return [returned, *request_permit(state, req)]
+        returned = _return_grant(
+            state, event.sender, message, ReturnReason.HELD_OFF, hold_off=hold_off
+        )
+        return [*returned, *request_permit(state, req)]
     if not message.trial:
         version = state.version_of(message.server)
         hold = hold_grant(state, req, version)
         if hold is not None:
-            returned = return_grant(event.sender, message)
+            reason = ReturnReason.PART_HELD
+            returned = _return_grant(state, event.sender, message, reason)
             told = tell(state, event.sender, [hold.part])
-            return [*told, returned, *request_permit(state, req)]
+            return [*told, *returned, *request_permit(state, req)]
     req.permit_host = event.sender
     req.shard = message.shard
     req.server = message.server
@@ -193,10 +201,16 @@
     return _dispatch(state, req)
 
 
-def return_grant(
-    sender: HostId, grant: PermitGrant, *, hold_off: Seconds = 0.0
-) -> Effect:
-    """Release a grant that this host will not use."""
+def _return_grant(
+    state: HostState,
+    sender: HostId,
+    grant: PermitGrant,
+    reason: ReturnReason,
+    *,
+    hold_off: Seconds = 0.0,
+) -> list[Effect]:
+    """Release a grant that this host will not use, and report why."""
+    req = state.requests.get(grant.request_id)
     release = PermitRelease(
         request_id=grant.request_id,
         shard=grant.shard,
@@ -204,7 +218,16 @@
         dispatched=False,
         hold_off=hold_off,
     )
-    return SendToHost(host=sender, message=release)
+    report = ReportReturn(
+        request_id=grant.request_id,
+        shard=grant.shard,
+        coordinator=sender,
+        server=grant.server,
+        reason=reason,
+        age=None if req is None else state.now - req.requested_at,
+    )
+    counted = CountMetric(name=f"grants_returned.{reason}")
+    return [report, counted, SendToHost(host=sender, message=release)]
 
 
 def _decline(
@@ -220,7 +243,8 @@
         )
         for source, reported in reports
     ]
-    return [*notices, return_grant(sender, grant), *request_permit(state, req)]
+    returned = _return_grant(state, sender, grant, ReturnReason.SERVER_LEAVING)
+    return [*notices, *returned, *request_permit(state, req)]
 
 
 def _leaving_notice(
--- a/src/amaranthferry/fallback.py
+++ b/src/amaranthferry/fallback.py
@@ -7,14 +7,19 @@
 from . import coordinator_reducer
 from .config import Deployment
 from .coordinator import Coordinator
-from .effects import CountMetric, Effect
+from .effects import (
+    CountMetric,
+    Effect,
+    ReportFallbackEnd,
+    ReportFallbackStart,
+)
 from .events import PeerLost, SettingsApplied
 from .reducer import apply_event
 from .registration import register_requests, replay_server_reports
 from .requests import Request
 from .state import COORDINATOR_TIMEOUT as COORDINATOR_TIMEOUT
 from .state import HostState
-from .types import RequestState, ShardId
+from .types import FallbackCause, RequestState, Seconds, ShardId
 
 
 def check_coordinators(state: HostState) -> list[Effect]:
@@ -26,7 +31,9 @@
     }
     effects: list[Effect] = []
     for shard in sorted(overdue):
-        effects += start_fallback(state, shard)
+        silent = _silence(state, shard)
+        cause = FallbackCause.COORDINATOR_SILENT
+        effects += start_fallback(state, shard, cause=cause, silent=silent)
     return effects + _end_fallbacks(state)
 
 
@@ -37,15 +44,37 @@
     return state.now - last_received >= state.coordinator_timeout
 
 
-def start_fallback(state: HostState, shard: ShardId) -> list[Effect]:
+def _silence(state: HostState, shard: ShardId) -> Seconds | None:
+    """Return the time since the last message of a shard's coordinator, if any."""
+    last_received = state.last_received.get(state.coordinator_of(shard))
+    return None if last_received is None else state.now - last_received
+
+
+def _waiting(state: HostState, shard: ShardId) -> int:
+    return sum(
+        req.shard == shard and req.state is RequestState.WAITING
+        for req in state.requests.values()
+    )
+
+
+def start_fallback(
+    state: HostState, shard: ShardId, *, cause: FallbackCause, silent: Seconds | None
+) -> list[Effect]:
     """Start deciding a shard's permits here, within this host's share of each server."""
     if shard in state.fallbacks:
         return []
+    report = ReportFallbackStart(
+        shard=shard,
+        coordinator=state.coordinator_of(shard),
+        cause=cause,
+        silent=silent,
+        waiting=_waiting(state, shard),
+    )
     share = _host_share(state.deployment, max(1, len(state.hosts)))
     fallback = Coordinator.from_config(share, shard, now=state.now, hosts=(state.host,))
     fallback.harmful_parts = state.harmful_parts
     state.fallbacks[shard] = fallback
-    effects = replay_server_reports(state, fallback)
+    effects = [report, *replay_server_reports(state, fallback)]
     effects.append(CountMetric(name="coordinator.fallbacks"))
     return effects + register_requests(state, shard)
 
@@ -82,14 +111,23 @@
         last_received = state.last_received.get(coordinator, -math.inf)
         reachable = state.now - last_received < state.coordinator_timeout
         if reachable or coordinator == state.host:
-            del state.fallbacks[shard]
+            fallback = state.fallbacks.pop(shard)
+            effects.append(
+                ReportFallbackEnd(
+                    shard=shard,
+                    coordinator=coordinator,
+                    lasted=state.now - fallback.started,
+                    waiting=_waiting(state, shard),
+                )
+            )
             effects += register_requests(state, shard)
     return effects
 
 
 @apply_event.register
 def _(event: PeerLost, state: HostState) -> list[Effect]:
-    state.last_received.pop(event.host, None)
+    last_received = state.last_received.pop(event.host, None)
+    silent = None if last_received is None else state.now - last_received
     shards = {
         req.shard
         for req in state.requests.values()
@@ -97,5 +135,6 @@
     }
     effects: list[Effect] = []
     for shard in sorted(shards):
-        effects += start_fallback(state, shard)
+        cause = FallbackCause.CONNECTION_LOST
+        effects += start_fallback(state, shard, cause=cause, silent=silent)
     return effects
--- a/src/amaranthferry/gateway/application.py
+++ b/src/amaranthferry/gateway/application.py
@@ -31,11 +31,13 @@
 from ..supervision import keep_running
 from ..types import HostId, RequestId, Seconds, ShardId, StoreEra
 from .caches import ConfigCache, ServerCache
+from .decisions import log_waiting
 from .dispatching import RoutedCall
 from .edge import Edge, Receive, Scope, Send
 from .exchange import RoutedExchange
 from .freshness import Freshness, boot_time
 from .joining import JoiningHosts
+from .lateness import Lateness
 from .listener import Listener
 from .log_events import LogEvent
 from .operator_api import OperatorApi, answer
@@ -65,6 +67,8 @@
 BURST_FRACTION = 0.4
 REFILL_FRACTION = 0.4
 RATIO_FRACTION = 0.5
+#: Interval between the log lines about what waits at this host.
+WAITING_LOG_PERIOD: Seconds = 0.5
 _log = structlog.get_logger(__name__)
 
 
@@ -91,6 +95,7 @@
         self.servers = ServerCache(self._apply_deployment, heartbeat=settings.heartbeat)
         self.peers: PeerNetwork | None = None
         self.telemetry = Telemetry()
+        self.lateness = Lateness(self.clock())
         #: The key that the hosts share; empty until it has been read.
         self.peer_key = ""
         self.stopping = False
@@ -113,6 +118,7 @@
         self._started_at = boot_time()
         self._initialized = asyncio.Event()
         self._keys_current = False
+        self._waiting_logged_at: Seconds = 0.0
         self._roles: tuple[dict[ShardId, HostId], tuple[ShardId, ...]] = ({}, ())
         self._performer = Performer(self)
         self._syncs = self._create_syncs()
@@ -412,7 +418,9 @@
 
     async def _tick(self) -> None:
         while True:
+            due = self.clock() + TICK_PERIOD
             await asyncio.sleep(TICK_PERIOD)
+            self.lateness.record(max(0.0, self.clock() - due), self.clock())
             self.servers.expire()
             if self.peers is not None and self._joining.has_just_ended(self.clock()):
                 self._set_hosts(*self._found_members)
@@ -420,8 +428,11 @@
             self.handle(Ticked(now=self.clock()))
 
     def _log_changes(self) -> None:
-        """Log changes of the keys' freshness and of the coordinators."""
+        """Log changes of the keys' freshness and of the coordinators, and queues."""
         now = self.clock()
+        if now - self._waiting_logged_at >= WAITING_LOG_PERIOD:
+            self._waiting_logged_at = now
+            log_waiting(self.state, now)
         current = self.freshness.is_current(now)
         if current is not self._keys_current:
             self._keys_current = current
--- a/src/amaranthferry/gateway/decisions.py
+++ b/src/amaranthferry/gateway/decisions.py
@@ -4,10 +4,21 @@
 
 import structlog
 
+from ..availability import count_servers, idle_slots
 from ..coordinator import Coordinator
-from ..effects import ReportHold, ReportPart, ReportSignal, ReportTrial
+from ..effects import (
+    ReportBackoff,
+    ReportFallbackEnd,
+    ReportFallbackStart,
+    ReportHold,
+    ReportPart,
+    ReportReturn,
+    ReportSignal,
+    ReportTrial,
+)
 from ..harmful_parts import Hold, PartState
 from ..messages import Message, PermitGrant, PermitRefusal
+from ..servers import Permit
 from ..state import HostState
 from ..types import HostId, Seconds, ServerSignal, ShardId
 from .dispatching import Dispatch
@@ -15,6 +26,8 @@
 from .log_events import LogEvent
 
 _log = structlog.get_logger(__name__)
+#: Lines a second about servers that a coordinator backs off from.
+MAX_BACKOFF_LINES = 40
 _SIGNAL_EVENTS = {
     ServerSignal.LEAVING: LogEvent.SERVER_LEAVING,
     ServerSignal.LEAVING_FORGOTTEN: LogEvent.SERVER_LEAVING_FORGOTTEN,
@@ -34,11 +47,13 @@
     record = coordinator.servers.get(message.server) if coordinator else None
     if coordinator is None or record is None or record.plain:
         return
+    permit = record.permits.get(message.request_id)
     _log.info(
         LogEvent.PERMIT_GRANTED,
         request_id=message.request_id,
         asker=host,
         server=message.server,
+        waited=None if permit is None else _time_queued(permit),
         queue=len(coordinator.queue),
         running=len(record.permits),
         backlog=round(max(0.0, record.prefill_free_at - state.now), 3),
@@ -71,6 +86,12 @@
     )
 
 
+def _time_queued(permit: Permit) -> Seconds:
+    """Return how long a request waited here, without the way of its messages."""
+    queued_at = permit.deadline - permit.request.remaining
+    return round(permit.granted - queued_at, 4)
+
+
 def _coordinator(state: HostState, shard: ShardId) -> Coordinator | None:
     return state.fallbacks.get(shard) or state.coordinators.get(shard)
 
@@ -166,3 +187,92 @@
         caller_gone=exchange.caller_disconnected,
         **dispatch.answer_details(),
     )
+
+
+def log_return(effect: ReportReturn) -> None:
+    """Log why this host returned a grant unused."""
+    _log.info(
+        LogEvent.PERMIT_RETURNED,
+        request_id=effect.request_id,
+        shard=effect.shard,
+        coordinator=effect.coordinator,
+        server=effect.server,
+        reason=effect.reason,
+        age=_rounded(effect.age),
+    )
+
+
+def log_fallback_start(effect: ReportFallbackStart) -> None:
+    """Log that this host begins to decide a shard's permits itself."""
+    _log.warning(
+        LogEvent.FALLBACK_STARTED,
+        shard=effect.shard,
+        coordinator=effect.coordinator,
+        cause=effect.cause,
+        silent=_rounded(effect.silent),
+        waiting=effect.waiting,
+    )
+
+
+def log_fallback_end(effect: ReportFallbackEnd) -> None:
+    """Log that a shard's coordinator decides this host's permits again."""
+    _log.info(
+        LogEvent.FALLBACK_ENDED,
+        shard=effect.shard,
+        coordinator=effect.coordinator,
+        lasted=_rounded(effect.lasted),
+        waiting=effect.waiting,
+    )
+
+
+def _rounded(seconds: Seconds | None) -> Seconds | None:
+    return None if seconds is None else round(seconds, 3)
+
+
+class BackoffLog:
+    """Log the servers that a coordinator backs off from, a bounded number a second."""
+
+    def __init__(self) -> None:
+        self._second = 0
+        self._lines = 0
+        self._skipped = 0
+
+    def record(self, effect: ReportBackoff, now: Seconds) -> None:
+        """Log one backoff, or count it with the next line that is written."""
+        if int(now) != self._second:
+            self._second, self._lines = int(now), 0
+        if self._lines >= MAX_BACKOFF_LINES:
+            self._skipped += 1
+            return
+        self._lines += 1
+        _log.info(
+            LogEvent.SERVER_BACKED_OFF,
+            shard=effect.shard,
+            server=effect.server,
+            reason=effect.reason,
+            duration=_rounded(effect.duration),
+            asker=effect.host,
+            request_id=effect.request_id,
+            skipped=self._skipped,
+        )
+        self._skipped = 0
+
+
+def log_waiting(state: HostState, now: Seconds) -> None:
+    """Log what waits at this host's coordinators, and what their servers could take."""
+    for coordinator in (*state.coordinators.values(), *state.fallbacks.values()):
+        if not coordinator.queue:
+            continue
+        oldest = min(waiter.arrived for waiter in coordinator.queue)
+        _log.info(
+            LogEvent.SHARD_WAITING,
+            shard=coordinator.shard,
+            fallback=state.fallbacks.get(coordinator.shard) is coordinator,
+            rebuilding=coordinator.is_rebuilding(now),
+            queue=len(coordinator.queue),
+            oldest=round(now - oldest, 3),
+            received=coordinator.sequence,
+            permits=len(coordinator.permits),
+            idle_slots=idle_slots(coordinator),
+            servers=count_servers(coordinator, now),
+        )
--- a/src/amaranthferry/gateway/dispatching.py
+++ b/src/amaranthferry/gateway/dispatching.py
@@ -30,7 +30,7 @@
 )
 from ..messages import ServerIncarnation
 from ..platform import headers
-from ..types import RequestId, Seconds, ServerId, Tokens, WorkspaceId
+from ..types import Decider, PoolId, RequestId, Seconds, ServerId, Tokens, WorkspaceId
 from .exchange import RoutedExchange
 from .log_events import LogEvent
 from .sse import EventReader
@@ -102,10 +102,12 @@
         report: Report,
         *,
         incarnation: ServerIncarnation,
+        decided_by: Decider,
         clock: Callable[[], Seconds],
         can_rerun: Callable[[], bool],
     ) -> None:
         self._exchange = exchange
+        self.decided_by = decided_by
         self._incarnation = incarnation
         self._call = exchange.call
         self._server = server
@@ -129,6 +131,16 @@
         """Return the server of this dispatch."""
         return self._server.name
 
+    @property
+    def service(self) -> PoolId:
+        """Return the service that the server belongs to."""
+        return self._server.pool
+
+    @property
+    def rejected(self) -> bool:
+        """Return whether the server refused to run the request."""
+        return self._end is _AnswerEnd.NOT_RUN
+
     @property
     def end(self) -> str:
         """Return how the dispatch ended, for metrics."""
@@ -280,6 +292,8 @@
         if origin.not_executed:
             self._log(
                 LogEvent.DISPATCH_NOT_RUN,
+                service=self.service,
+                decided_by=self.decided_by,
                 status=start.status,
                 retry_after=start.fields().get(headers.RETRY_AFTER),
                 hold_off=origin.hold_off,
--- a/src/amaranthferry/gateway/log_events.py
+++ b/src/amaranthferry/gateway/log_events.py
@@ -18,6 +18,7 @@
     HOST_STOPPED = "host.stopped"
     SIGNAL_STOP = "signal.stop"  # repeated
     SIGNAL_RELOAD = "signal.reload"  # taken
+    HOST_LAGGING = "host.lagging"  # late, ticks; at most one a second
     TASK_RESTARTED = "task.restarted"  # task, exception
     TASK_FAILED = "task.failed"  # exception; written by the shell of all hosts
     LOGS_DROPPED = "logs.dropped"  # lines
@@ -59,6 +60,14 @@
     PEERS_CHANGED = "peers.changed"  # hosts, draining
     PEER_LOST = "peer.lost"  # peer
     COORDINATORS_CHANGED = "coordinators.changed"  # coordinators, fallbacks
+    # Who decides on permits: shard, coordinator, cause, silent, lasted, waiting.
+    FALLBACK_STARTED = "fallback.started"
+    FALLBACK_ENDED = "fallback.ended"
+    # shard, fallback, queue, oldest, permits, idle_slots, servers by availability;
+    # twice a second while requests wait.
+    SHARD_WAITING = "shard.waiting"
+    # shard, server, reason, duration, asker, request_id, skipped
+    SERVER_BACKED_OFF = "server.backed_off"
     PEER_KEY_NOT_READ = "peer_key.not_read"  # problem
     PEER_KEY_CHANGED = "peer_key.changed"
     HOST_ENTRY_WRITTEN = "host_entry.written"  # era, hosts
@@ -68,16 +77,18 @@
     # Decisions about requests.
     REQUEST_HELD = "request.held"  # request_id, part, held_for, ends, trials
     REQUEST_REFUSED = "request.refused"  # attempt, code, status, version, belief_age
-    REQUEST_DISPATCHED = "request.dispatched"  # request_id, route, server, run, waited
+    REQUEST_DISPATCHED = "request.dispatched"  # request_id, route, server, waited
     # request_id, route, server, runs, ages, framing, closed_by_peer, partial_event
     REQUEST_ANSWERED = "request.answered"
     REQUEST_SETTLED = "request.settled"  # request_id, outcome, reason, retry_after
     DISPATCH_UNREACHED = "dispatch.unreached"  # request_id, server, problem
-    # request_id, server, status, retry_after, hold_off
+    # request_id, server, service, status, retry_after, hold_off, decided_by
     DISPATCH_NOT_RUN = "dispatch.not_run"
     DISPATCH_FAILED = "dispatch.failed"  # request_id, server, status
     # request_id, server, problem, process, framing, closed_by_peer, partial_event,
     # answering_for, parts
     DISPATCH_BROKEN = "dispatch.broken"
-    PERMIT_GRANTED = "permit.granted"  # request_id, asker, server, queue, running
+    PERMIT_GRANTED = "permit.granted"  # request_id, asker, server, waited, queue
+    # request_id, shard, coordinator, server, reason, age
+    PERMIT_RETURNED = "permit.returned"
     PERMIT_REFUSED = "permit.refused"  # request_id, asker, reason, queue, slots, known
--- a/src/amaranthferry/gateway/performer.py
+++ b/src/amaranthferry/gateway/performer.py
@@ -15,8 +15,12 @@
     MakeClaim,
     ObserveMetric,
     ReplayAnswer,
+    ReportBackoff,
+    ReportFallbackEnd,
+    ReportFallbackStart,
     ReportHold,
     ReportPart,
+    ReportReturn,
     ReportSignal,
     ReportTrial,
     SendToHost,
@@ -25,13 +29,20 @@
 from ..events import CallerGone, DispatchFailed, DispatchRefused, PeerLost, PeerReceived
 from ..leaving import incarnation_of
 from ..problems import Problem
-from ..types import Outcome, RefusalReason
+from ..requests import Request
+from ..shards import pool_of
+from ..state import HostState
+from ..types import Decider, Outcome, RefusalReason
 from . import dispatching
 from .decisions import (
+    BackoffLog,
     log_answer,
     log_decision,
+    log_fallback_end,
+    log_fallback_start,
     log_hold,
     log_part,
+    log_return,
     log_signal,
     log_trial,
 )
@@ -49,6 +60,7 @@
 
     def __init__(self, app: "Gateway") -> None:
         self.app = app
+        self.backoffs = BackoffLog()
 
     def perform(self, effect: Effect) -> None:
         """Perform one effect; asynchronous work continues in a task."""
@@ -107,6 +119,26 @@
     log_trial(effect)
 
 
+@_perform.register
+def _(effect: ReportReturn, performer: Performer) -> None:
+    log_return(effect)
+
+
+@_perform.register
+def _(effect: ReportBackoff, performer: Performer) -> None:
+    performer.backoffs.record(effect, performer.app.clock())
+
+
+@_perform.register
+def _(effect: ReportFallbackStart, performer: Performer) -> None:
+    log_fallback_start(effect)
+
+
+@_perform.register
+def _(effect: ReportFallbackEnd, performer: Performer) -> None:
+    log_fallback_end(effect)
+
+
 @_perform.register(MakeClaim)
 @_perform.register(CloseClaim)
 @_perform.register(ReplayAnswer)
@@ -130,13 +162,15 @@
 def _(effect: Dispatch, performer: Performer) -> None:
     app = performer.app
     exchange = app.exchanges.get(effect.request_id)
+    req = app.state.requests.get(effect.request_id)
     server = app.state.deployment.servers.get(effect.server)
     incarnation = incarnation_of(app.state.deployment, effect.server)
-    if exchange is None or server is None or incarnation is None:
+    if exchange is None or req is None or server is None or incarnation is None:
         refused = DispatchRefused(now=app.clock(), request_id=effect.request_id)
         app.handle_later(refused)
         return
     exchange.dispatches += 1
+    decided_by = _decider(app.state, req)
     waited = app.clock() - exchange.call.arrived
     app.telemetry.wait.observe(waited, exchange.call.route.name)
     _log.info(
@@ -146,12 +180,14 @@
         server=server.name,
         run=exchange.dispatches,
         waited=round(waited, 4),
+        decided_by=decided_by,
     )
     dispatch = dispatching.Dispatch(
         exchange,
         server,
         app.handle,
         incarnation=incarnation,
+        decided_by=decided_by,
         clock=app.clock,
         can_rerun=lambda: app.can_rerun(effect.request_id),
     )
@@ -161,6 +197,15 @@
     )
 
 
+def _decider(state: HostState, req: Request) -> Decider:
+    """Return who granted the permit that a request is dispatched with."""
+    if state.deployment.rules_of(pool_of(req.shard)).decided_locally:
+        return Decider.LOCAL
+    if req.permit_host == state.host and req.shard in state.fallbacks:
+        return Decider.FALLBACK
+    return Decider.COORDINATOR
+
+
 def _finish_dispatch(
     performer: Performer,
     exchange: RoutedExchange,
@@ -176,6 +221,8 @@
         app.handle(DispatchFailed(now=app.clock(), request_id=request_id))
     route = exchange.call.route.name
     app.telemetry.dispatches.add(route, dispatch.end, dispatch.framing or "")
+    if dispatch.rejected:
+        app.telemetry.rejections.add(dispatch.service, dispatch.decided_by)
     if dispatch.process is not None:
         app.telemetry.broken.add(route, dispatch.process)
     if request_id in app.state.requests or (
--- a/src/amaranthferry/gateway/telemetry.py
+++ b/src/amaranthferry/gateway/telemetry.py
@@ -8,8 +8,10 @@
 from collections.abc import Iterable
 from typing import TYPE_CHECKING, Any
 
+from ..availability import count_servers, idle_slots
 from ..harmful_parts import PartState
-from ..types import Seconds
+from ..state import HostState
+from ..types import Decider, Seconds
 
 if TYPE_CHECKING:
     from prometheus_client.core import Metric
@@ -92,6 +94,11 @@
             "Broken answers by what became of the server's process.",
             ("route", "process"),
         )
+        self.rejections = Counter(
+            "rejections",
+            "Dispatches that servers refused to run, by who had decided on them.",
+            ("service", "decided_by"),
+        )
         self.decisions = Counter("decisions", "Counts of the reducer.", ("name",))
         self.first_byte = Histogram(
             "first_byte_seconds", "From arrival to the first byte.", ("route",)
@@ -132,6 +139,7 @@
             telemetry.requests,
             telemetry.dispatches,
             telemetry.broken,
+            telemetry.rejections,
             telemetry.decisions,
         ):
             family = CounterMetricFamily(
@@ -233,14 +241,58 @@
     queues: dict[Labels, float] = {
         (s,): float(len(c.queue)) for s, c in coordinators.items()
     }
+    now = app.clock()
     server: Labels = ("server",)
+    idle: dict[Labels, float] = {
+        (s,): float(idle_slots(c)) for s, c in coordinators.items()
+    }
+    received: dict[Labels, float] = {
+        (s,): float(c.sequence) for s, c in coordinators.items()
+    }
+    available: dict[Labels, float] = {
+        (s, why): float(count)
+        for s, c in coordinators.items()
+        for why, count in count_servers(c, now).items()
+    }
     return [
+        (
+            "tick_late_seconds",
+            "Greatest lateness of a tick in the last 15 to 30 s.",
+            (),
+            {(): app.lateness.greatest(now)},
+        ),
+        (
+            "deciding",
+            "Servers that this host decides for, by shard and role.",
+            ("shard", "role"),
+            _deciding(app.state),
+        ),
+        ("idle_slots", "Slots of live servers without a permit.", ("shard",), idle),
+        ("permit_requests", "Permit requests queued so far.", ("shard",), received),
+        (
+            "shard_servers",
+            "Servers by why they get new work or none.",
+            ("shard", "availability"),
+            available,
+        ),
         ("queue_length", "Asks that wait here.", ("shard",), queues),
         ("running", "Permits that are out, by server.", server, running),
         ("prefill_rate", "Learned prompt tokens a second.", server, rates),
     ]
 
 
+def _deciding(state: HostState) -> dict[Labels, float]:
+    roles = (
+        (Decider.COORDINATOR, state.coordinators),
+        (Decider.FALLBACK, state.fallbacks),
+    )
+    return {
+        (shard, role): float(len(coordinator.servers))
+        for role, coordinators in roles
+        for shard, coordinator in coordinators.items()
+    }
+
+
 def _counts(names: Iterable[Any]) -> dict[Labels, float]:
     counts: dict[Labels, float] = {}
     for name in names:
--- a/src/amaranthferry/performer.py
+++ b/src/amaranthferry/performer.py
@@ -15,8 +15,12 @@
     MakeClaim,
     ObserveMetric,
     ReplayAnswer,
+    ReportBackoff,
+    ReportFallbackEnd,
+    ReportFallbackStart,
     ReportHold,
     ReportPart,
+    ReportReturn,
     ReportSignal,
     ReportTrial,
     SendToHost,
@@ -76,6 +80,36 @@
     )
 
 
+@_perform.register
+def _(effect: ReportReturn, performer: Performer) -> None:
+    _log.info("grant returned", server=effect.server, reason=effect.reason)
+
+
+@_perform.register
+def _(effect: ReportBackoff, performer: Performer) -> None:
+    _log.info(
+        "server backed off",
+        server=effect.server,
+        reason=effect.reason,
+        duration=effect.duration,
+    )
+
+
+@_perform.register
+def _(effect: ReportFallbackStart, performer: Performer) -> None:
+    _log.info(
+        "fallback started",
+        shard=effect.shard,
+        coordinator=effect.coordinator,
+        cause=effect.cause,
+    )
+
+
+@_perform.register
+def _(effect: ReportFallbackEnd, performer: Performer) -> None:
+    _log.info("fallback ended", shard=effect.shard, lasted=effect.lasted)
+
+
 @_perform.register(ReportHold)
 @_perform.register(ReportTrial)
 def _(effect: ReportHold | ReportTrial, performer: Performer) -> None:
--- a/src/amaranthferry/types.py
+++ b/src/amaranthferry/types.py
@@ -115,6 +115,40 @@
     HARMFUL_PART = "harmful_part"
 
 
+class ReturnReason(StrEnum):
+    """Represent the reason why a host returned a grant without a dispatch."""
+
+    REQUEST_GONE = "request_gone"
+    GRANTED_ELSEWHERE = "granted_elsewhere"
+    EXPIRED = "expired"
+    SUSPENDED = "suspended"
+    SERVER_LEAVING = "server_leaving"
+    HELD_OFF = "held_off"
+    PART_HELD = "part_held"
+
+
+class Decider(StrEnum):
+    """Represent who granted the permit of a dispatch."""
+
+    COORDINATOR = "coordinator"
+    FALLBACK = "fallback"
+    LOCAL = "local"
+
+
+class BackoffReason(StrEnum):
+    """Represent the reason why a coordinator backed off from a server."""
+
+    UNREACHED = "unreached"
+    GRANT_RETURNED = "grant_returned"
+
+
+class FallbackCause(StrEnum):
+    """Represent the reason why a host began to decide a shard's permits itself."""
+
+    COORDINATOR_SILENT = "coordinator_silent"
+    CONNECTION_LOST = "connection_lost"
+
+
 class WasteCause(StrEnum):
     """Represent the reason why prefill work did not count as goodput."""
 
--- /dev/null
+++ b/tests/gateway/test_decisions.py
@@ -0,0 +1,102 @@
+import pytest
+import structlog
+
+from amaranthferry.effects import (
+    ReportBackoff,
+    ReportFallbackEnd,
+    ReportFallbackStart,
+    ReportReturn,
+)
+from amaranthferry.gateway import decisions
+from amaranthferry.types import BackoffReason, FallbackCause, ReturnReason
+from tests.reducer_fleet import ReducerFleet, instance
+
+SHARD = "engines/0"
+
+
+@pytest.fixture
+def lines(monkeypatch):
+    log = structlog.testing.CapturingLogger()
+    monkeypatch.setattr(decisions, "_log", log)
+    return log.calls
+
+
+def backoff(number=0):
+    return ReportBackoff(
+        shard=SHARD,
+        server=f"s-{number}",
+        host="edge-1",
+        request_id=f"r{number}",
+        reason=BackoffReason.GRANT_RETURNED,
+        duration=0.5,
+    )
+
+
+def test_backoffs_are_logged_at_a_bounded_rate_and_the_rest_counted(lines):
+    log = decisions.BackoffLog()
+    for number in range(10 * decisions.MAX_BACKOFF_LINES):
+        log.record(backoff(number), 7.5)
+    log.record(backoff(), 8.0)
+    assert len(lines) == decisions.MAX_BACKOFF_LINES + 1
+    assert lines[0].args[0] == "server.backed_off"
+    assert (lines[0].kwargs["server"], lines[0].kwargs["reason"]) == (
+        "s-0",
+        "grant_returned",
+    )
+    assert lines[0].kwargs["duration"] == 0.5
+    assert lines[-1].kwargs["skipped"] == 9 * decisions.MAX_BACKOFF_LINES
+
+
+def test_fallbacks_and_returned_grants_are_logged(lines):
+    decisions.log_fallback_start(
+        ReportFallbackStart(
+            shard=SHARD,
+            coordinator="edge-1",
+            cause=FallbackCause.COORDINATOR_SILENT,
+            silent=0.35125,
+            waiting=3,
+        )
+    )
+    decisions.log_fallback_end(
+        ReportFallbackEnd(shard=SHARD, coordinator="edge-1", lasted=0.05, waiting=1)
+    )
+    decisions.log_return(
+        ReportReturn(
+            request_id="r1",
+            shard=SHARD,
+            coordinator="edge-1",
+            server="s-0",
+            reason=ReturnReason.REQUEST_GONE,
+        )
+    )
+    started, ended, returned = lines
+    assert started.args[0] == "fallback.started"
+    assert (started.kwargs["cause"], started.kwargs["silent"]) == (
+        "coordinator_silent",
+        0.351,
+    )
+    assert ended.args[0] == "fallback.ended"
+    assert (ended.kwargs["lasted"], ended.kwargs["waiting"]) == (0.05, 1)
+    assert returned.args[0] == "permit.returned"
+    assert (returned.kwargs["reason"], returned.kwargs["age"]) == ("request_gone", None)
+
+
+def test_waiting_requests_are_logged_with_what_the_servers_could_take(lines):
+    system = ReducerFleet([instance("s-0"), instance("s-1")])
+    host = system.hosts["host-0"].coordinator_of(SHARD)
+    state = system.hosts[host]
+    system.advance(4.0)
+    decisions.log_waiting(state, system.now)
+    for _ in range(3):
+        system.send(host)
+    decisions.log_waiting(state, system.now + 0.2)
+    (line,) = lines
+    assert line.args[0] == "shard.waiting"
+    assert (
+        line.kwargs["queue"],
+        line.kwargs["permits"],
+        line.kwargs["idle_slots"],
+    ) == (1, 2, 6)
+    assert line.kwargs["servers"] == {"prefill_backlog": 2}
+    assert line.kwargs["oldest"] == 0.2
+    assert line.kwargs["fallback"] is False
--- a/tests/gateway/test_telemetry.py
+++ b/tests/gateway/test_telemetry.py
@@ -1,25 +1,32 @@
 import aiohttp
 
+from amaranthferry.fallback import start_fallback
 from amaranthferry.gateway.telemetry import (
     MAX_LABEL_SETS,
     OTHER_LABEL,
     Counter,
     Histogram,
 )
+from amaranthferry.standins.routed import ServerFault
+from amaranthferry.types import FallbackCause, ShardId
 
 from .fleet import fleet
 
 
+async def scrape(system, host=0):
+    async with (
+        aiohttp.ClientSession() as session,
+        session.get(system.metrics[host]) as answer,
+    ):
+        return await answer.text()
+
+
 async def test_metrics_are_served_as_text():
     async with fleet() as (system, caller):
         await caller.send_prompt()
         await caller.send("GET", "/look/x")
         await caller.send("GET", "/none/x")
-        async with (
-            aiohttp.ClientSession() as session,
-            session.get(system.metrics[0]) as answer,
-        ):
-            text = await answer.text()
+        text = await scrape(system)
     assert 'requests_total{outcome="done",reason="",route="ask"} 1.0' in text
     assert 'outcome="refused",reason="route_unknown"' in text
     assert 'first_byte_seconds_bucket{le="+Inf",route="ask"} 1.0' in text
@@ -27,6 +34,33 @@
     assert 'amaranthferry_servers{service="engines"} 2.0' in text
 
 
+async def test_metrics_name_who_decides_and_what_servers_could_take():
+    async with fleet() as (system, caller):
+        await caller.send_prompt()
+        state = system.hosts[0].state
+        start_fallback(
+            state,
+            ShardId("engines/0"),
+            cause=FallbackCause.COORDINATOR_SILENT,
+            silent=None,
+        )
+        text = await scrape(system)
+    assert 'deciding{role="coordinator",shard="engines/0"} 2.0' in text
+    assert 'deciding{role="fallback",shard="engines/0"} 2.0' in text
+    assert 'idle_slots{shard="engines/0"} 8.0' in text
+    assert 'permit_requests{shard="ledger/0"} 0.0' not in text
+    assert 'shard_servers{availability="free",shard="engines/0"} 2.0' in text
+    assert "amaranthferry_tick_late_seconds 0." in text
+
+
+async def test_rejections_are_counted_by_who_decided():
+    async with fleet(engines=1) as (system, caller):
+        system.servers["engine-0"].fault = ServerFault.FULL
+        await caller.send_prompt("/review/one")
+        text = await scrape(system)
+    assert 'rejections_total{decided_by="coordinator",service="engines"} 1.0' in text
+
+
 def test_labels_are_bounded():
     counter = Counter("x", "X.", ("route",))
     histogram = Histogram("y", "Y.", ("route",))
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -1,5 +1,6 @@
 import pytest
 
+from amaranthferry.effects import ReportBackoff
 from amaranthferry.events import MembersChanged, SettingsApplied
 from amaranthferry.messages import (
     PermitGrant,
@@ -9,7 +10,7 @@
 )
 from amaranthferry.permits import ORPHAN_TIMEOUT
 from amaranthferry.servers import LIST_REJOIN_DELAY, MIN_BACKOFF
-from amaranthferry.types import ServerState, ServerStateSource
+from amaranthferry.types import BackoffReason, ServerState, ServerStateSource
 from tests.scheduling import HOST, SHARD, Session, deployment, permit_request, server
 
 
@@ -217,3 +218,16 @@
     sent = [len(session.tick(0.1)) for _ in range(100)]
     assert max(sent) <= 64
     assert sum(sent) <= 64 * 11
+
+
+@pytest.mark.parametrize(
+    ("failed", "reason"),
+    [(True, BackoffReason.UNREACHED), (False, BackoffReason.GRANT_RETURNED)],
+)
+def test_backoff_reports_its_reason_and_duration(failed, reason):
+    session = session_with_busy_server()
+    effects = session.release("running", dispatched=False, failed=failed)
+    (report,) = [effect for effect in effects if isinstance(effect, ReportBackoff)]
+    assert report.reason is reason
+    assert report.duration == MIN_BACKOFF
+    assert (report.server, report.host) == ("e1", HOST)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -10,11 +10,19 @@
 from amaranthferry import events
 from amaranthferry.coordination import ORDER_DRAIN_TIMEOUT
 from amaranthferry.core import HostState, reduce
-from amaranthferry.effects import Dispatch, SendToHost, SettleRequest
+from amaranthferry.effects import (
+    Dispatch,
+    ReportFallbackEnd,
+    ReportFallbackStart,
+    ReportReturn,
+    SendToHost,
+    SettleRequest,
+)
 from amaranthferry.embedded import ENGINES, MODEL, build_deployment
 from amaranthferry.fallback import COORDINATOR_TIMEOUT
 from amaranthferry.messages import (
     PermitGrant,
+    PermitQueued,
     PermitRefusal,
     PermitRelease,
     PermitRequest,
@@ -22,10 +30,12 @@
 from amaranthferry.shards import choose_coordinator, choose_successor
 from amaranthferry.types import (
     ClassId,
+    FallbackCause,
     HostId,
     Outcome,
     RefusalReason,
     RequestId,
+    ReturnReason,
     ServerId,
     ServerState,
     ServerStateSource,
@@ -178,6 +188,52 @@
     assert {effect.host for effect in of_type(effects, SendToHost)} == {HOST}
 
 
+def test_fallback_reports_its_start_and_its_end():
+    state = new_state()
+    reduce(state, arrival(timeout=60.0))
+    receive(state, PermitQueued(SHARD), now=1.0)
+    effects = reduce(state, events.Ticked(now=1.0 + COORDINATOR_TIMEOUT))
+    (started,) = of_type(effects, ReportFallbackStart)
+    assert started.cause is FallbackCause.COORDINATOR_SILENT
+    assert (started.shard, started.coordinator) == (SHARD, OTHER)
+    assert (started.silent, started.waiting) == (COORDINATOR_TIMEOUT, 1)
+    receive(state, PermitQueued(SHARD), now=4.5)
+    effects = reduce(state, events.Ticked(now=5.0))
+    (ended,) = of_type(effects, ReportFallbackEnd)
+    assert (ended.shard, ended.coordinator) == (SHARD, OTHER)
+    assert ended.lasted == 5.0 - (1.0 + COORDINATOR_TIMEOUT)
+
+
+def test_fallback_reports_a_lost_connection():
+    state = new_state()
+    reduce(state, arrival(timeout=60.0))
+    effects = reduce(state, events.PeerLost(now=0.2, host=OTHER))
+    (started,) = of_type(effects, ReportFallbackStart)
+    assert started.cause is FallbackCause.CONNECTION_LOST
+    assert started.silent is None
+
+
+@pytest.mark.parametrize(
+    ("now", "reason", "age"),
+    [(0.2, ReturnReason.GRANTED_ELSEWHERE, 0.2), (11.0, ReturnReason.EXPIRED, 11.0)],
+)
+def test_returned_grant_reports_its_reason(now, reason, age):
+    state = new_state()
+    reduce(state, arrival())
+    if reason is ReturnReason.GRANTED_ELSEWHERE:
+        receive(state, grant())
+    effects = receive(state, grant(server=ServerId("engine-2")), now=now)
+    (report,) = of_type(effects, ReportReturn)
+    assert (report.reason, report.age) == (reason, age)
+    assert (report.coordinator, report.server) == (OTHER, "engine-2")
+
+
+def test_grant_of_a_request_that_has_ended_is_reported():
+    state = new_state()
+    (report,) = of_type(receive(state, grant()), ReportReturn)
+    assert (report.reason, report.age) == (ReturnReason.REQUEST_GONE, None)
+
+
 def test_newer_settings_keep_the_fallback_within_its_share():
     state = new_state()
     hosts = (OTHER, *(HostId(f"host-{number}") for number in range(3, 10)))
