Have the hosts that can carry it coordinate a shard

Cause: the coordinator of a shard was chosen by a hash of names alone, so nearly always among the many small hosts.

Change: hosts tell each other their capacity, in their entry in the store and in each membership packet, as an added last field that an earlier build ignores. Capable hosts, those with at least half of the greatest known capacity, go before all others; among them the hash decides as before. Where nothing is known all are equal.

Evidence: tests/test_shards.py and tests/gateway/test_joining.py, which fail without the change (names don't exist). While builds are mixed, hosts of the two builds may choose different coordinators.

--- a/src/amaranthferry/config.py
+++ b/src/amaranthferry/config.py
@@ -200,4 +200,5 @@
     peer_key: str
     seeds: tuple[str, ...] = ()
     statsd_address: str = ""
+    capacity: float = 0.0
     log_level: str = "info"
--- a/src/amaranthferry/coordination.py
+++ b/src/amaranthferry/coordination.py
@@ -83,6 +83,7 @@
     coordinator = Coordinator.from_config(
         state.deployment, shard, now=state.now, hosts=state.hosts
     )
+    coordinator.coordinator = state.host
     coordinator.harmful_parts = state.harmful_parts
     # One coordinator of the pool tries held parts again.
     coordinator.makes_trials = state.shards_of(pool_of(shard))[0] == shard
@@ -141,14 +142,17 @@
 
 @apply_event.register
 def _(event: MembersChanged, state: HostState) -> list[Effect]:
-    return _set_members(state, event.hosts, event.draining)
+    return _set_members(state, event.hosts, event.draining, event.capacities)
 
 
 def _set_members(
-    state: HostState, hosts: tuple[HostId, ...], draining: tuple[HostId, ...]
+    state: HostState,
+    hosts: tuple[HostId, ...],
+    draining: tuple[HostId, ...],
+    capacities: dict[HostId, float] | None = None,
 ) -> list[Effect]:
     before = state.coordinator_hosts()
-    state.replace_hosts(hosts, draining)
+    state.replace_hosts(hosts, draining, capacities)
     after = state.coordinator_hosts()
     _drop_moved_coordinators(state, after)
     effects = ask_others(state)
--- a/src/amaranthferry/events.py
+++ b/src/amaranthferry/events.py
@@ -38,10 +38,14 @@
 
 
 class MembersChanged(Event, frozen=True):
-    """Replace the set of live entry hosts; draining ones keep their requests."""
+    """Replace the set of live entry hosts; draining ones keep their requests.
+
+    Without `capacities` the known ones stay.
+    """
 
     hosts: tuple[HostId, ...]
     draining: tuple[HostId, ...] = ()
+    capacities: dict[HostId, float] | None = None
 
 
 class FreshnessChanged(Event, frozen=True):
--- a/src/amaranthferry/gateway/application.py
+++ b/src/amaranthferry/gateway/application.py
@@ -42,7 +42,7 @@
 from .log_events import LogEvent
 from .operator_api import OperatorApi, answer
 from .performer import Performer
-from .presence import HostDirectory
+from .presence import HostDirectory, HostEntry
 from .store_sync import CONFIRM_AGE, StoreSync
 from .telemetry import Telemetry
 from .watching import KindReader, SyncState
@@ -69,9 +69,18 @@
 RATIO_FRACTION = 0.5
 #: Interval between the log lines about what waits at this host.
 WAITING_LOG_PERIOD: Seconds = 0.5
+#: Link that fills up as a whole core of decisions is used.
+LINK_MBPS_PER_CORE = 10.0
 _log = structlog.get_logger(__name__)
 
 
+def capacity_of(settings: HostSettings) -> float:
+    """Return how many cores' worth of decisions a host can make and send."""
+    if settings.link_mbps <= 0:
+        return settings.processor
+    return min(settings.processor, settings.link_mbps / LINK_MBPS_PER_CORE)
+
+
 class Gateway(Shell):
     """Run an entry host for routed requests with all its components."""
 
@@ -106,7 +115,7 @@
         self._directory = HostDirectory(
             self._store,
             settings.host,
-            self._peer_address,
+            HostEntry(self._peer_address, capacity_of(settings)),
             on_hosts=self._set_listed_hosts,
             has_peers=self._has_found_members,
         )
@@ -114,6 +123,7 @@
         self._joining = JoiningHosts(boot_time())
         self._found_members: tuple[dict[HostId, str], tuple[HostId, ...]] = ({}, ())
         self._has_host_list = False
+        self._capacities = {settings.host: capacity_of(settings)}
         self._found: dict[HostId, str] = {}
         self._started_at = boot_time()
         self._initialized = asyncio.Event()
@@ -189,6 +199,7 @@
             peer_address=self._peer_address,
             platform_url=self.settings.store,
             peer_key=key,
+            capacity=capacity_of(self.settings),
         )
         self._joining.restart(self.clock())
         self.peers = PeerNetwork(
@@ -333,17 +344,20 @@
         if self._joining.record_unreachable(host, self.clock()):
             self._set_hosts(*self._found_members)
 
-    def _set_listed_hosts(self, hosts: dict[HostId, str]) -> None:
+    def _set_listed_hosts(self, hosts: dict[HostId, HostEntry]) -> None:
         """Set the hosts listed in the store; they count as members at the start."""
-        self._joining.set_listed(hosts)
+        addresses = {host: entry.address for host, entry in hosts.items()}
+        self._joining.set_listed(addresses)
+        self._capacities |= {host: entry.capacity for host, entry in hosts.items()}
         self._has_host_list = True
         if self._members is not None:
-            self._members.set_candidates(tuple(hosts.values()))
+            self._members.set_candidates(tuple(addresses.values()))
         if not self._initialized.is_set():
             self._set_hosts(*self._found_members)
 
     def _set_members(self, members: tuple[Member, ...]) -> None:
         member_addresses = {member.host: member.address for member in members}
+        self._capacities |= {member.host: member.capacity for member in members}
         draining = tuple(member.host for member in members if member.draining)
         self._set_hosts(member_addresses, draining)
 
@@ -360,7 +374,14 @@
             _log.info(LogEvent.PEERS_CHANGED, hosts=len(hosts), draining=len(draining))
         for sync in self._syncs.values():
             sync.set_hosts(host for host in hosts if host not in draining)
-        self.handle(MembersChanged(now=self.clock(), hosts=hosts, draining=draining))
+        self.handle(
+            MembersChanged(
+                now=self.clock(),
+                hosts=hosts,
+                draining=draining,
+                capacities=dict(self._capacities),
+            )
+        )
         if changed:
             self._apply_deployment()
         self._check_initialized()
--- a/src/amaranthferry/gateway/presence.py
+++ b/src/amaranthferry/gateway/presence.py
@@ -35,6 +35,7 @@
     """Describe a host's entry in the store, with the address for its peers."""
 
     address: str
+    capacity: float = 0.0
 
 
 class _PeerKey(msgspec.Struct, frozen=True):
@@ -42,20 +43,20 @@
 
 
 class HostDirectory:
-    """Register this host in the store and report the other hosts' addresses."""
+    """Register this host in the store and report the other hosts' entries."""
 
     def __init__(
         self,
         store: StoreClient,
         host: HostId,
-        address: str,
+        entry: HostEntry,
         *,
-        on_hosts: Callable[[dict[HostId, str]], None],
+        on_hosts: Callable[[dict[HostId, HostEntry]], None],
         has_peers: Callable[[], bool],
     ) -> None:
         self._store = store
         self._host = host
-        self._entry = HostEntry(address)
+        self._entry = entry
         self._on_hosts = on_hosts
         self._has_peers = has_peers
         self._key = ""
@@ -158,11 +159,7 @@
                 LogEvent.HOST_ENTRY_WRITTEN, era=listing.era, hosts=len(entries) + 1
             )
         self._on_hosts(
-            {
-                host: entry.address
-                for host, entry in entries.items()
-                if entry is not None
-            }
+            {host: entry for host, entry in entries.items() if entry is not None}
         )
 
 
--- a/src/amaranthferry/gossip.py
+++ b/src/amaranthferry/gossip.py
@@ -34,6 +34,8 @@
     incarnation: int
     settings_version: SettingsVersion = SettingsVersion(0)
     draining: bool = False
+    #: What the host can carry, relative to others; 0 where it is unknown.
+    capacity: float = 0.0
 
 
 class MemberUpdate(msgspec.Struct, frozen=True, array_like=True):
--- a/src/amaranthferry/platform/settings.py
+++ b/src/amaranthferry/platform/settings.py
@@ -42,6 +42,8 @@
     store: str
     heartbeat: Seconds
     bounds: Bounds
+    processor: float = 1.0
+    link_mbps: float = 0.0
 
     @classmethod
     def from_file(cls, path: Path) -> Self:
@@ -85,6 +87,9 @@
             store=fields.endpoint("platform.address"),
             heartbeat=fields.milliseconds("heartbeatMs", 1_000),
             bounds=bounds,
+            processor=fields.number("limits.cpuShare", 1)
+            * fields.number("limits.cpuCores", 1),
+            link_mbps=fields.number("limits.linkMbps", 0),
         )
 
 
--- a/src/amaranthferry/shards.py
+++ b/src/amaranthferry/shards.py
@@ -1,12 +1,15 @@
 """Split pools into shards and choose each shard's coordinator."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable, Mapping
 
 import xxhash
 
 from .config import BackendServer, Deployment
 from .types import HostId, PoolId, ShardId
 
+#: Least capacity of a capable host, as a fraction of the greatest one.
+CAPABLE_FRACTION = 0.5
+
 
 def shards_of(deployment: Deployment, pool: PoolId) -> tuple[ShardId, ...]:
     """Return the ids of a pool's shards."""
@@ -37,26 +40,50 @@
     return _pool_servers(deployment, pool)[index::count]
 
 
-def choose_coordinator(shard: ShardId, hosts: Iterable[HostId]) -> HostId:
-    """Return the host that coordinates a shard, by rendezvous hashing."""
-    return max(hosts, key=lambda host: (_score(shard, host), host))
+def choose_coordinator(
+    shard: ShardId, hosts: Iterable[HostId], capable: Collection[HostId] = ()
+) -> HostId:
+    """Return the host that coordinates a shard, by rendezvous hashing.
+
+    Capable hosts go before all others.
+    """
+    return max(hosts, key=lambda host: _rank(shard, host, capable))
 
 
-def choose_successor(shard: ShardId, hosts: Iterable[HostId]) -> HostId | None:
+def choose_successor(
+    shard: ShardId, hosts: Iterable[HostId], capable: Collection[HostId] = ()
+) -> HostId | None:
     """Return the host that would coordinate a shard if its coordinator were lost."""
     candidates = tuple(hosts)
-    coordinator = choose_coordinator(shard, candidates)
+    coordinator = choose_coordinator(shard, candidates, capable)
     others = tuple(host for host in candidates if host != coordinator)
-    return choose_coordinator(shard, others) if others else None
+    return choose_coordinator(shard, others, capable) if others else None
 
 
-def outranks(shard: ShardId, host: HostId, other: HostId) -> bool:
+def outranks(
+    shard: ShardId, host: HostId, other: HostId, capable: Collection[HostId] = ()
+) -> bool:
     """Return whether a host ranks above another one for a shard."""
-    return (_score(shard, host), host) > (_score(shard, other), other)
+    return _rank(shard, host, capable) > _rank(shard, other, capable)
+
+
+def capable_hosts(
+    hosts: Iterable[HostId], capacities: Mapping[HostId, float]
+) -> frozenset[HostId]:
+    """Return the hosts whose capacity comes near the greatest one that is known.
+
+    A coordinator decides for a whole shard, which small hosts can't always carry.
+    """
+    known = {host: capacities.get(host, 0.0) for host in hosts}
+    least = CAPABLE_FRACTION * max(known.values(), default=0.0)
+    return frozenset(host for host, value in known.items() if value >= least)
 
 
-def _score(shard: ShardId, host: HostId) -> int:
-    return xxhash.xxh64_intdigest(f"{shard}\0{host}".encode())
+def _rank(
+    shard: ShardId, host: HostId, capable: Collection[HostId]
+) -> tuple[bool, int, HostId]:
+    score = xxhash.xxh64_intdigest(f"{shard}\0{host}".encode())
+    return host in capable, score, host
 
 
 def _pool_servers(deployment: Deployment, pool: PoolId) -> tuple[BackendServer, ...]:
--- a/src/amaranthferry/standins/deployment.py
+++ b/src/amaranthferry/standins/deployment.py
@@ -142,6 +142,7 @@
     addresses: list[str],
     revoke: Seconds = REVOCATION_BOUND,
     grace: Seconds = GRACE_TIME,
+    processor: float = 1.0,
 ) -> str:
     """Return the settings file of a host with four addresses on one IP address."""
     ip = addresses[0].partition(":")[0]
@@ -159,6 +160,7 @@
         "bounds.strictRevoke": "true",
         "bounds.graceS": grace,
         "bounds.retryBudgetExtra": 100,
+        "limits.cpuShare": processor,
     }
     return "".join(f"{key}={value}\n" for key, value in lines.items())
 
--- a/src/amaranthferry/state.py
+++ b/src/amaranthferry/state.py
@@ -11,6 +11,7 @@
 from .requests import Request
 from .retry import RepeatBudget, RetryBudget
 from .shards import (
+    capable_hosts,
     choose_coordinator,
     choose_successor,
     outranks,
@@ -41,14 +42,18 @@
     successor: HostId | None
 
     def is_affected(
-        self, shard: ShardId, removed: frozenset[HostId], added: frozenset[HostId]
+        self,
+        shard: ShardId,
+        removed: frozenset[HostId],
+        added: frozenset[HostId],
+        capable: frozenset[HostId],
     ) -> bool:
         """Return whether removed or added hosts change the assignment."""
         if self.successor is None:
             return bool(removed or added)
         if self.coordinator in removed or self.successor in removed:
             return True
-        return any(outranks(shard, host, self.successor) for host in added)
+        return any(outranks(shard, host, self.successor, capable) for host in added)
 
 
 class HostState(msgspec.Struct, kw_only=True):
@@ -60,6 +65,8 @@
     now: Seconds = 0.0
     hosts: tuple[HostId, ...] = ()
     draining_hosts: tuple[HostId, ...] = ()
+    #: What hosts can carry, relative to each other; 0 where it is unknown.
+    capacities: dict[HostId, float] = {}
     draining: bool = False
     settings_current: bool = True
     requests: dict[RequestId, Request] = {}
@@ -93,21 +100,31 @@
     pool_versions: dict[PoolId, frozenset[str]] = {}
     coordinator_timeout: Seconds = COORDINATOR_TIMEOUT
 
+    _capable: frozenset[HostId] = frozenset()
+
     def __post_init__(self) -> None:
         self.harmful_parts = HarmfulParts(self.host)
+        self._capable = capable_hosts(self._candidates(), self.capacities)
 
     def replace_hosts(
-        self, hosts: tuple[HostId, ...], draining: tuple[HostId, ...]
+        self,
+        hosts: tuple[HostId, ...],
+        draining: tuple[HostId, ...],
+        capacities: dict[HostId, float] | None = None,
     ) -> None:
         """Replace the live hosts; drop only the shard assignments that change."""
-        before = self._candidates()
+        before, capable_before = self._candidates(), self._capable
         self._record_lost_hosts(hosts)
         self.hosts = hosts
         self.draining_hosts = draining
+        if capacities is not None:
+            self.capacities = capacities
         after = self._candidates()
+        self._capable = capable_hosts(after, self.capacities)
         removed, added = before - after, after - before
+        reranked = bool((capable_before ^ self._capable) & before & after)
         for shard, assignment in list(self.assignments.items()):
-            if assignment.is_affected(shard, removed, added):
+            if reranked or assignment.is_affected(shard, removed, added, self._capable):
                 del self.assignments[shard]
 
     def _record_lost_hosts(self, hosts: tuple[HostId, ...]) -> None:
@@ -154,7 +171,8 @@
         if shard not in self.assignments:
             hosts = self._candidates()
             self.assignments[shard] = ShardAssignment(
-                choose_coordinator(shard, hosts), choose_successor(shard, hosts)
+                choose_coordinator(shard, hosts, self._capable),
+                choose_successor(shard, hosts, self._capable),
             )
         return self.assignments[shard]
 
--- a/src/amaranthferry/swim.py
+++ b/src/amaranthferry/swim.py
@@ -132,7 +132,13 @@
     @classmethod
     def from_config(cls, cfg: HostConfig, *, incarnation: int) -> "Membership":
         """Return the state of a host that knows no other members yet."""
-        own = Member(cfg.host, cfg.peer_address, cfg.zone, incarnation)
+        own = Member(
+            cfg.host,
+            cfg.peer_address,
+            cfg.zone,
+            incarnation,
+            capacity=cfg.capacity,
+        )
         return cls(own, cfg.seeds)
 
     def reduce(self, event: MembershipEvent) -> list[MembershipEffect]:
--- a/tests/gateway/test_joining.py
+++ b/tests/gateway/test_joining.py
@@ -1,10 +1,17 @@
+import asyncio
+
 import pytest
 
+from amaranthferry.gateway.application import capacity_of
 from amaranthferry.gateway.joining import (
     JOIN_TIME_PER_HOST,
     MIN_JOIN_TIME,
     JoiningHosts,
 )
+from amaranthferry.platform.settings import HostSettings
+from amaranthferry.standins.deployment import settings_text
+
+from .fleet import fleet
 
 
 def listed(count):
@@ -65,3 +72,30 @@
     hosts.restart(300.0)
     assert not hosts.has_just_ended(300.0)
     assert hosts.has_just_ended(400.0)
+
+
+@pytest.mark.parametrize(
+    ("limits", "capacity"),
+    [
+        ({}, 1.0),
+        ({"cpuShare": 0.361, "cpuCores": 1, "linkMbps": 10.0}, 0.361),
+        ({"cpuShare": 0.717, "cpuCores": 3, "linkMbps": 200.0}, 2.151),
+        ({"cpuShare": 0.717, "cpuCores": 3, "linkMbps": 5.0}, 0.5),
+    ],
+)
+def test_capacity_is_what_processor_and_link_can_carry(limits, capacity):
+    text = settings_text("a", store="127.0.0.1:1", addresses=["127.0.0.1:1"] * 4)
+    text += "".join(f"limits.{key}={value}\n" for key, value in limits.items())
+    assert capacity_of(HostSettings.from_text(text)) == pytest.approx(capacity)
+
+
+async def test_hosts_tell_each_other_what_they_can_carry():
+    capacities = {"a": 0.3, "b": 2.0, "c": 0.4}
+    async with fleet(hosts=0) as (system, _):
+        for name, processor in capacities.items():
+            await system.add_host(name, processor=processor)
+        async with asyncio.timeout(10.0):
+            while not all(app.state.capacities == capacities for app in system.hosts):
+                await asyncio.sleep(0.05)
+        chosen = {app.state.coordinator_of("engines/0") for app in system.hosts}
+    assert chosen == {"b"}
--- a/tests/test_shards.py
+++ b/tests/test_shards.py
@@ -1,6 +1,13 @@
 import pytest
 
-from amaranthferry.shards import choose_coordinator, servers_of, shards_of
+from amaranthferry.shards import (
+    capable_hosts,
+    choose_coordinator,
+    choose_successor,
+    outranks,
+    servers_of,
+    shards_of,
+)
 from tests.scheduling import deployment, server
 
 HOSTS = [f"h{index}" for index in range(19)]
@@ -28,3 +35,27 @@
     moved = {shard for shard in shards if before[shard] != after[shard]}
     assert moved == {shard for shard in shards if before[shard] == HOSTS[0]}
     assert moved
+
+
+def test_small_hosts_get_the_coordinator_role_only_without_larger_ones():
+    capacities = dict.fromkeys(HOSTS, 0.36) | {"h3": 2.15, "h7": 2.0}
+    shards = [f"models/{index}" for index in range(50)]
+    capable = capable_hosts(HOSTS, capacities)
+    for shard in shards:
+        roles = {
+            choose_coordinator(shard, HOSTS, capable),
+            choose_successor(shard, HOSTS, capable),
+        }
+        assert roles == {"h3", "h7"}
+    rest = [host for host in HOSTS if host not in ("h3", "h7")]
+    left = capable_hosts(rest, capacities)
+    assert len({choose_coordinator(shard, rest, left) for shard in shards}) > 10
+
+
+def test_hosts_of_unknown_capacity_are_equal():
+    assert capable_hosts(HOSTS, {}) == set(HOSTS)
+
+
+def test_a_small_host_never_outranks_a_capable_one():
+    others = HOSTS[1:]
+    assert not any(outranks("models/0", host, "h0", {"h0"}) for host in others)
--- a/tests/test_wire_format.py
+++ b/tests/test_wire_format.py
@@ -82,27 +82,27 @@
     (PEER_MESSAGES, "93ae73657474696e67735f6368756e6bc4026231c4026232"),
     (
         PACKETS,
-        "94a470696e6796a27331a27332a273330405c391920396a27337a27338a273390a0bc30d",
+        "94a470696e6797a27331a27332a273330405c3cb401100000000000091920397a27337a27338a273390a0bc3cb40310000000000000d",
     ),
     (
         PACKETS,
-        "96a361736b96a27331a27332a273330405c391920396a27337a27338a273390a0bc30da3733134a3733135",
+        "96a361736b97a27331a27332a273330405c3cb401100000000000091920397a27337a27338a273390a0bc3cb40310000000000000da3733134a3733135",
     ),
     (
         PACKETS,
-        "95a361636b96a27331a27332a273330405c391920396a27337a27338a273390a0bc30da3733134",
+        "95a361636b97a27331a27332a273330405c3cb401100000000000091920397a27337a27338a273390a0bc3cb40310000000000000da3733134",
     ),
     (
         PACKETS,
-        "93a6676f7373697096a27331a27332a273330405c391920396a27337a27338a273390a0bc3",
+        "93a6676f7373697097a27331a27332a273330405c3cb401100000000000091920397a27337a27338a273390a0bc3cb4031000000000000",
     ),
     (
         PACKETS,
-        "94a8706167655f61736b96a27331a27332a273330405c391920396a27337a27338a273390a0bc3a3733133",
+        "94a8706167655f61736b97a27331a27332a273330405c3cb401100000000000091920397a27337a27338a273390a0bc3cb4031000000000000a3733133",
     ),
     (
         PACKETS,
-        "94a47061676596a27331a27332a273330405c391920396a27337a27338a273390a0bc3a3733133",
+        "94a47061676597a27331a27332a273330405c3cb401100000000000091920397a27337a27338a273390a0bc3cb4031000000000000a3733133",
     ),
     (HANDSHAKE, "94a568656c6c6f01a27332c4026233"),
     (HANDSHAKE, "95a96368616c6c656e676501a27332c4026233c4026234"),
@@ -137,6 +137,16 @@
     ),
 ]
 
+#: Packets of an earlier release, whose members have no capacity.
+EARLIER_PACKETS = [
+    "94a470696e6796a27331a27332a273330405c391920396a27337a27338a273390a0bc30d",
+    "96a361736b96a27331a27332a273330405c391920396a27337a27338a273390a0bc30da3733134a3733135",
+    "95a361636b96a27331a27332a273330405c391920396a27337a27338a273390a0bc30da3733134",
+    "93a6676f7373697096a27331a27332a273330405c391920396a27337a27338a273390a0bc3",
+    "94a8706167655f61736b96a27331a27332a273330405c391920396a27337a27338a273390a0bc3a3733133",
+    "94a47061676596a27331a27332a273330405c391920396a27337a27338a273390a0bc3a3733133",
+]
+
 #: Fields that are encoded by name, in order.
 FIELDS = {
     root.AuditEntry: "version previous who when nonce changes omitted details",
@@ -154,7 +164,7 @@
     status.ShardStatus: "shard coordinator local waits",
     status.ServerStatus: "server pool zone address kind signs",
     presence.PresenceEntry: "host address refreshed",
-    gateway_presence.HostEntry: "address",
+    gateway_presence.HostEntry: "address capacity",
     audit.AuditTrail: "source entries",
     explain.Origin: "value place override",
     explain.Explanation: "section key origins",
@@ -184,6 +194,16 @@
     assert items[-len(added) :] == added
 
 
+@pytest.mark.parametrize("encoded", EARLIER_PACKETS)
+def test_packets_from_before_hosts_told_their_capacity_are_decoded(encoded):
+    packet = msgspec.msgpack.decode(bytes.fromhex(encoded), type=PACKETS)
+    assert packet.sender.capacity == 0.0
+    assert all(update.member.capacity == 0.0 for update in packet.updates)
+    # An earlier release ignores the last item of a member and reads the rest alike.
+    now = msgspec.msgpack.encode(packet).hex().replace("cb" + "00" * 8, "")
+    assert now.replace("97a2", "96a2") == encoded
+
+
 def test_every_message_is_compared():
     tags = {
         type(msgspec.msgpack.decode(bytes.fromhex(encoded), type=kind))
