Bound a coordinator's queue notices for all hosts together

Cause: under load a coordinator notified each host with waiting requests every 0.1 s, 1,370 messages a second for 137 hosts, and 3,700 for 370.

Change: at most 600 notices a second for all hosts together; up to 60 hosts nothing changes.

Evidence: the new test fails before for 137 and 370 hosts.

--- a/src/amaranthferry/coordinator.py
+++ b/src/amaranthferry/coordinator.py
@@ -3,7 +3,7 @@
 from collections.abc import Collection, Iterable
 from typing import Self
 
-from .config import DEFAULT_RULES, Deployment, Limits, Pool
+from .config import DEFAULT_RULES, Deployment, Limits, Pool, PoolRules
 from .demand import Demand
 from .effects import Effect, SendToHost
 from .fairness import FairShare
@@ -31,9 +31,16 @@
 #: Time for which a suspected prompt part runs once at a time.
 MAX_ALONE_TIME: Seconds = 1.5
 ADVERT_INTERVAL: Seconds = 1.0
+#: Queue notices to all hosts together, so that they don't slow down the decisions.
+MAX_NOTICES_PER_SECOND = 600
 MAX_ADVERTS_PER_INTERVAL = 64
 
 
+def notice_interval(rules: PoolRules, hosts: int) -> Seconds:
+    """Return how often a coordinator notifies one of `hosts` hosts that it waits."""
+    return max(rules.notice_interval, hosts / MAX_NOTICES_PER_SECOND)
+
+
 class Coordinator:
     """Coordinate one shard from soft state that host registrations rebuild."""
 
@@ -250,9 +257,9 @@
 
     def queue_notices(self, hosts: Collection[HostId], now: Seconds) -> list[Effect]:
         """Return the notices that are due to those hosts that have waiting requests."""
-        interval = self._rules.notice_interval
-        if interval <= 0:
+        if self._rules.notice_interval <= 0:
             return []
+        interval = notice_interval(self._rules, len(self.hosts))
         waiting = sorted(set(hosts) & set(self.queue.hosts()))
         due = [h for h in waiting if now >= self._notified_at.get(h, 0.0) + interval]
         self._notified_at.update(dict.fromkeys(due, now))
--- a/tests/test_objectives.py
+++ b/tests/test_objectives.py
@@ -336,3 +336,17 @@
     without = msgspec.structs.replace(deployment(), pools={}, servers={})
     reduce(coordinator, SettingsApplied(now=1.0, deployment=without))
     assert granted(send(coordinator, permit_request("late"), 1.0)) == []
+
+
+@pytest.mark.parametrize("count", [15, 137, 370])
+def test_queue_notices_do_not_grow_with_the_number_of_hosts(count):
+    hosts = [f"h{number}" for number in range(count)]
+    coordinator = Coordinator.from_config(deployment(), SHARD, now=0.0, hosts=hosts)
+    for host in hosts:
+        request = permit_request(f"r-{host}", objective=60.0, max_wait=60.0)
+        asked = PeerReceived(now=0.0, sender=host, message=request)
+        reduce(coordinator, asked)
+    assert len(coordinator.queue) >= count - 10
+    ticks = [tick(coordinator, 0.05 * number) for number in range(1, 61)]
+    notices = sum(isinstance(m, PermitQueued) for messages in ticks for m in messages)
+    assert count * 3.0 / 3.5 <= notices <= 600 * 3.0 + count
