Keep the shards of a service while a release doubles its servers

Cause: 65 servers are listed while a release runs, so the pool splits in two shards at 11.0 s and is one again a second later. Each time all hosts turn to another coordinator, which doesn't know yet what runs (274 changes of coordinators), while the former one still grants on the same servers.

Change: a shard of a routed service holds 128 servers instead of 64. A pool that grows beyond that still changes its shards at once.

Evidence: the new test fails with 64.

--- a/src/amaranthferry/catalog.py
+++ b/src/amaranthferry/catalog.py
@@ -45,6 +45,9 @@
 #: Initial speeds for predictions, in use until an engine's own speeds are measured.
 PRIOR_PREFILL_RATE = 30_000.0
 PRIOR_DECODE_INTERVAL: Seconds = 0.008
+#: Twice what one coordinator is meant for, since a release may double a service's
+#: servers for a while, and each change of the number of shards moves all requests.
+SERVERS_PER_SHARD = 128
 #: Fraction of a quota's slack granted as leeway; the rest covers new ledgers.
 LEEWAY_FRACTION = 0.5
 #: Largest fraction of the burst withheld from a ledger without earlier usage data.
@@ -292,7 +295,11 @@
 def _pool(service: RoutedService) -> Pool:
     if service.engine is None:
         return Pool(service.name, kind=PoolKind.SERVICE)
-    return Pool(service.name, models=service.engine.models)
+    return Pool(
+        service.name,
+        models=service.engine.models,
+        servers_per_shard=SERVERS_PER_SHARD,
+    )
 
 
 def _quota(subscriber: Subscriber, budget_limits: BudgetLimits) -> Quota:
--- a/tests/test_shards.py
+++ b/tests/test_shards.py
@@ -8,6 +8,8 @@
     servers_of,
     shards_of,
 )
+from tests.reducer_fleet import ENGINES, instance
+from tests.reducer_fleet import deployment as routed_deployment
 from tests.scheduling import deployment, server
 
 HOSTS = [f"h{index}" for index in range(19)]
@@ -59,3 +61,12 @@
 def test_a_small_host_never_outranks_a_capable_one():
     others = HOSTS[1:]
     assert not any(outranks("models/0", host, "h0", {"h0"}) for host in others)
+
+
+def test_release_that_doubles_a_service_does_not_move_requests_between_shards():
+    servers = [instance(f"e{index:03}") for index in range(60)]
+    started = [instance(f"n{index:03}") for index in range(60)]
+    before = routed_deployment(servers)
+    assert shards_of(before, ENGINES) == shards_of(
+        routed_deployment(servers + started), ENGINES
+    )
