Have a stand-in that takes the role learn what runs and what was used

Where a coordinator is lost, engines could reject work and a workspace could go over its quota.

Cause: a new coordinator uses a quarter of the slots until the hosts have registered, or 0.5 s have passed, and counts the usage that they report. A stand-in that took the role kept its start time and its ledger. So it used all slots at once, although it knew nothing of the work of hosts that had not relied on it, and it ignored their usage.

Change: it rebuilds for the hosts that did not rely on it. If most of the usage is unknown (over 40% of the hosts did not rely on it), the quota ledger takes reports again.

Both tests fail before and pass now.

--- a/src/amaranthferry/coordination.py
+++ b/src/amaranthferry/coordination.py
@@ -187,7 +187,7 @@
     """Drop the roles that other hosts have now, and take those that are this host's."""
     for shard, coordinator in list(state.coordinators.items()):
         if coordinators.get(shard) == state.host:
-            coordinator.take_role()
+            coordinator.take_role(state.now, recent_hosts=state.recent_host_count())
             coordinator.makes_trials = _makes_trials(state, shard)
         elif coordinator.has_role or shard not in coordinators:
             del state.coordinators[shard]
--- a/src/amaranthferry/coordinator.py
+++ b/src/amaranthferry/coordinator.py
@@ -20,7 +20,7 @@
 from .permits import PermitLedger
 from .placement import Caution, Chooser, PlacementLimits
 from .policy import Policy
-from .quota import QuotaLedger
+from .quota import MIN_REPORTED_FRACTION, QuotaLedger
 from .servers import ServerRecord
 from .shards import choose_coordinator, pool_of, servers_of, shards_of
 from .slot_shares import SlotShares
@@ -134,11 +134,18 @@
         self.shares = shares
         self._apply_shares()
 
-    def take_role(self) -> None:
-        """Decide for all hosts from now on."""
-        if self.shares is not None:
-            self.shares = None
-            self._apply_shares()
+    def take_role(self, now: Seconds, *, recent_hosts: int) -> None:
+        """Decide for all hosts from now on; those that did not rely on it register."""
+        if self.shares is None:
+            return
+        self._unregistered = set(self.hosts.difference(self.shares.hosts))
+        self.started = now
+        self.recent_host_count = recent_hosts
+        unknown = len(self._unregistered) / max(1, len(self.hosts))
+        if unknown > 1.0 - MIN_REPORTED_FRACTION:
+            self.quotas.restart(now)
+        self.shares = None
+        self._apply_shares()
 
     def record_reliance(self, host: HostId, now: Seconds) -> None:
         """Record that a host has this decider decide for it."""
--- a/src/amaranthferry/quota.py
+++ b/src/amaranthferry/quota.py
@@ -108,6 +108,12 @@
             if workspace not in quotas:
                 del self._usage[workspace]
 
+    def restart(self, now: Seconds) -> None:
+        """Take over the usage of other ledgers, whose hosts report it from now on."""
+        self._started = now
+        self._usage_applied = False
+        self._known.clear()
+
     def is_known(self, now: Seconds) -> bool:
         """Return whether the usage in a full window up to now is known."""
         windows = (quota.window for quota in self._quotas.values())
--- a/tests/test_fallback.py
+++ b/tests/test_fallback.py
@@ -8,6 +8,7 @@
 from amaranthferry import events
 from amaranthferry.catalog import BudgetLimits, Catalog, Engine, RoutedService
 from amaranthferry.catalog import deployment_of as compile_catalog
+from amaranthferry.config import Quota
 from amaranthferry.core import HostState, reduce
 from amaranthferry.effects import Dispatch, SendToHost
 from amaranthferry.fallback import MAX_ABSENCE
@@ -63,6 +64,29 @@
     return events.RequestArrived(now=now, request_id=name, pool=ENGINES, **fields)
 
 
+def ask(name, **fields):
+    fields = {
+        "workspace": "",
+        "tier_rank": 0,
+        "class_rank": 0,
+        "remaining": 15.0,
+        "prompt_tokens": 100,
+        "output_tokens": 10,
+        "objective": 1.0,
+        "max_wait": 7.0,
+        **fields,
+    }
+    return PermitRequest(request_id=name, shard=SHARD, **fields)
+
+
+def stand_in_of(hosts):
+    """Return the successor as a host, its coordinator, and the ordinary hosts."""
+    state = new_state(hosts[0], hosts)
+    coordinator, successor = state.coordinator_of(SHARD), state.successor_of(SHARD)
+    others = [name for name in hosts if name not in (coordinator, successor)]
+    return LoneHost(new_state(successor, hosts)), coordinator, others
+
+
 class LoneHost:
     """Run one host; others only notify it of queues, and servers begin to answer."""
 
@@ -116,6 +140,13 @@
             for sender in self.notifying:
                 self.receive(sender, PermitQueued(SHARD))
 
+    def grants(self, *, since=0.0):
+        return [
+            message
+            for at, _, message in self.sent
+            if isinstance(message, PermitGrant) and at >= since
+        ]
+
     def asked(self, kind=PermitRequest, *, since=0.0):
         return {
             host
@@ -288,3 +319,40 @@
     assert silent.host == coordinator
     assert [host for host, _, _ in fleet.dispatched] == [sender]
     assert request_id not in fleet.settled
+
+
+def test_stand_in_that_takes_the_role_does_not_use_all_slots_before_hosts_register():
+    host, coordinator, others = stand_in_of(names(16))
+    host.receive(others[0], ask("early"))
+    host.run(2.0)
+    host.receive(others[0], ask("recent"))
+    rest = tuple(name for name in names(16) if name != coordinator)
+    host.apply(events.MembersChanged(now=host.state.now, hosts=rest))
+    for number in range(100):
+        host.receive(others[0], ask(f"r{number}"))
+    assert len(host.grants(since=2.0)) <= 8 * SLOTS / 3
+    host.run(3.0)
+    assert len(host.grants(since=2.0)) > 8 * SLOTS / 2
+
+
+def test_stand_in_that_takes_the_role_counts_the_usage_that_hosts_report():
+    hosts = names(16)
+    limit = Quota(rate=100.0, burst=100.0, window=8.0)
+    host, coordinator, others = stand_in_of(hosts)
+    quotas = {"tenant": limit}
+    limited = msgspec.structs.replace(host.state.deployment, version=2, quotas=quotas)
+    host.apply(events.SettingsApplied(now=0.0, deployment=limited))
+    spent = {"workspace": "tenant", "quota_cost": 50.0}
+    host.receive(others[0], ask("early", **spent))
+    host.run(9.0)
+    host.receive(others[0], ask("recent", **spent))
+    rest = tuple(name for name in hosts if name != coordinator)
+    host.apply(events.MembersChanged(now=host.state.now, hosts=rest))
+    usage = {"tenant": (limit.window_limit / len(rest),)}
+    for name in others:
+        report = Registration(SHARD, (), (), quota_usage=usage, usage_age=60.0)
+        host.receive(name, report)
+    host.run(9.6)
+    for number in range(10):
+        host.receive(others[0], ask(f"r{number}", **spent))
+    assert not host.grants(since=9.5)
