Have a stand-in drop the work of hosts that returned to their coordinator

At the next silence of a coordinator its successor would have granted nothing.

Cause: a host registers all its running requests with a stand-in, as it turns to it and as it returns, and releases them at the host that granted them and the one that decides then. So a stand-in never heard of the end of work that the coordinator had granted. It kept these permits as long as it ran, and they filled the slots of other hosts.

Change: a stand-in treats the permits of hosts that don't rely on it like those of lost hosts: they end after the orphan timeout (2 s), and then its state is dropped.

The new test fails before.

--- a/src/amaranthferry/coordinator.py
+++ b/src/amaranthferry/coordinator.py
@@ -146,6 +146,7 @@
             self.quotas.restart(now)
         self.shares = None
         self._apply_shares()
+        self._mark_orphans(now)
 
     def record_reliance(self, host: HostId, now: Seconds) -> None:
         """Record that a host has this decider decide for it."""
@@ -154,8 +155,19 @@
 
     def expire_reliance(self, now: Seconds) -> None:
         """Give back the slots of hosts that no longer rely on this decider."""
-        if self.shares is not None and self.shares.expire(now):
+        if self.shares is None:
+            return
+        if self.shares.expire(now):
             self._apply_shares()
+        self._mark_orphans(now)
+
+    def _mark_orphans(self, now: Seconds) -> None:
+        """Start the orphan timeout of permits whose hosts may not release them here."""
+        live = self.hosts
+        if self.shares is not None:
+            live = live.intersection(self.shares.hosts)
+        timeout = self._rules.orphan_timeout
+        self.permits.mark_orphans(live, now, timeout=timeout)
 
     def _apply_shares(self) -> None:
         """Limit slots and quotas to the part that this decider may use."""
@@ -201,7 +213,7 @@
         for waiter in self.queue:
             if waiter.host not in self.hosts:
                 self.queue.remove(waiter.request.request_id)
-        self.permits.mark_orphans(self.hosts, now, timeout=self._rules.orphan_timeout)
+        self._mark_orphans(now)
 
     def replace_sharing_hosts(self, hosts: Collection[HostId]) -> None:
         """Replace the hosts that share the servers' slots."""
--- a/tests/test_fallback.py
+++ b/tests/test_fallback.py
@@ -18,6 +18,7 @@
     PermitQueued,
     PermitRequest,
     Registration,
+    RunningWork,
     ShardAdvert,
 )
 from amaranthferry.types import HostId, ShardId
@@ -356,3 +357,20 @@
     for number in range(10):
         host.receive(others[0], ask(f"r{number}", **spent))
     assert not host.grants(since=9.5)
+
+
+def test_stand_in_does_not_keep_slots_for_work_of_hosts_that_left_it():
+    host, _, others = stand_in_of(names(16))
+    running = tuple(
+        RunningWork(ask(f"running-{number}"), f"e{number % 8}", 1, 0.1)
+        for number in range(24)
+    )
+    host.receive(others[0], Registration(SHARD, (ask("waiting"),), running))
+    host.run(1.0)
+    host.receive(others[0], Registration(SHARD, (), running))
+    host.run(10.0)
+    assert not host.state.coordinators
+    for number in range(2 * SLOTS):
+        host.receive(others[1], ask(f"later-{number}"))
+    host.run(11.0)
+    assert len(host.grants(since=10.0)) >= 8 * SLOTS // 16
