Have capable hosts read the store for all others

What callers saw: nothing by itself.

Cause: the readers were chosen by a hash of names, like the coordinator. A reader answers 2.5 requests a second of each other host (docs/CAPACITY.md), = 340 with 137 hosts, on the smallest hosts as on the largest.

Change: capable hosts read first, among them by the hash as before; without known capacities nothing changes.

Evidence: the new test fails before (no such argument).

--- a/src/amaranthferry/gateway/application.py
+++ b/src/amaranthferry/gateway/application.py
@@ -27,6 +27,7 @@
 from ..platform.settings import HostSettings
 from ..platform.store import StoreClient
 from ..running import can_rerun
+from ..shards import capable_hosts
 from ..shell import Shell
 from ..supervision import keep_running
 from ..types import HostId, RequestId, Seconds, ShardId, StoreEra
@@ -372,8 +373,10 @@
         changed = len(hosts) != len(self.state.hosts)
         if hosts != self.state.hosts or draining != self.state.draining_hosts:
             _log.info(LogEvent.PEERS_CHANGED, hosts=len(hosts), draining=len(draining))
+        live = [host for host in hosts if host not in draining]
+        capable = capable_hosts(live, self._capacities)
         for sync in self._syncs.values():
-            sync.set_hosts(host for host in hosts if host not in draining)
+            sync.set_hosts(live, capable)
         self.handle(
             MembersChanged(
                 now=self.clock(),
--- a/src/amaranthferry/gateway/store_sync.py
+++ b/src/amaranthferry/gateway/store_sync.py
@@ -12,7 +12,7 @@
 import asyncio
 import contextlib
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from enum import Enum
 
 import structlog
@@ -71,9 +71,14 @@
     SILENT = "silent"
 
 
-def choose_readers(hosts: Iterable[HostId]) -> tuple[HostId, ...]:
-    """Return the hosts that read the store; the choice is the same on every host."""
-    ranked = sorted(hosts, key=lambda host: (_score(host), host))
+def choose_readers(
+    hosts: Iterable[HostId], capable: Collection[HostId] = ()
+) -> tuple[HostId, ...]:
+    """Return the hosts that read the store; the choice is the same on every host.
+
+    Capable hosts go first, since a reader answers all the others.
+    """
+    ranked = sorted(hosts, key=lambda host: (host not in capable, _score(host), host))
     return tuple(ranked[:READER_COUNT])
 
 
@@ -119,10 +124,12 @@
         """Return whether this host reads the store for the others."""
         return self._host in self._readers or boot_time() < self._stand_in_until
 
-    def set_hosts(self, hosts: Iterable[HostId]) -> None:
-        """Choose the readers from the live hosts."""
+    def set_hosts(
+        self, hosts: Iterable[HostId], capable: Collection[HostId] = ()
+    ) -> None:
+        """Choose the readers from the live hosts, the capable ones first."""
         live_hosts = tuple(hosts)
-        readers = choose_readers(live_hosts)
+        readers = choose_readers(live_hosts, capable)
         if readers != self._readers:
             _log.info(LogEvent.READERS_CHANGED, kind=self._state.kind, readers=readers)
         self._readers = readers
--- a/tests/gateway/test_store_sync.py
+++ b/tests/gateway/test_store_sync.py
@@ -159,6 +159,13 @@
     assert choose_readers(names) == choose_readers(reversed(names))
 
 
+def test_small_hosts_read_for_all_only_without_capable_ones():
+    names = [f"host-{number}" for number in range(137)]
+    assert set(choose_readers(names, {"host-7", "host-90"})) == {"host-7", "host-90"}
+    assert "host-7" in choose_readers(names, {"host-7"})
+    assert choose_readers(names, set(names)) == choose_readers(names)
+
+
 async def test_only_readers_call_the_store():
     network = FakeNetwork(hosts(8))
     await network.run(0.5)
