Divide a shard's slots once for all hosts that turn to a stand-in

The successor of a silent coordinator could become silent itself, since all hosts turn to it at once.

Cause: each host that came to rely on a stand-in had all hosts and servers ordered by hash again and searched in a list, which grows with the square of the number of hosts.

Change: the order of the hosts and of the slots is kept until either changes, and a coordinator keeps its servers, which were searched among those of all pools.

The new test counts hashes and fails before.

--- a/src/amaranthferry/coordinator.py
+++ b/src/amaranthferry/coordinator.py
@@ -1,9 +1,17 @@
 """Coordinate the queue, servers and permits of one shard."""
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Mapping
 from typing import Self
 
-from .config import DEFAULT_RULES, Deployment, Limits, Pool, PoolRules
+from .config import (
+    DEFAULT_RULES,
+    BackendServer,
+    Deployment,
+    Limits,
+    Pool,
+    PoolRules,
+    Quota,
+)
 from .demand import Demand
 from .effects import Effect, SendToHost
 from .fairness import FairShare
@@ -24,7 +32,7 @@
 from .servers import ServerRecord
 from .shards import choose_coordinator, pool_of, servers_of, shards_of
 from .slot_shares import SlotShares
-from .types import HostId, RequestId, Seconds, ServerId, ShardId
+from .types import HostId, RequestId, Seconds, ServerId, ShardId, WorkspaceId
 from .wait_queue import Rank, Waiter, WaitQueue
 
 #: Fraction of its capacity that a server may fill while the shard is being rebuilt.
@@ -77,7 +85,9 @@
         self.makes_trials = False
         #: The hosts that rely on this decider, while another host has the role.
         self.shares: SlotShares | None = None
-        self._deployment = Deployment(name="")
+        self._quotas: Mapping[WorkspaceId, Quota] = {}
+        self._shard_count = 1
+        self._shard_servers: tuple[BackendServer, ...] = ()
 
     @classmethod
     def from_config(
@@ -96,7 +106,8 @@
 
     def apply(self, deployment: Deployment) -> None:
         """Apply a deployment; servers of the same incarnation keep their estimates."""
-        self._deployment = deployment
+        self._quotas = deployment.quotas
+        self._shard_count = len(shards_of(deployment, pool_of(self.shard)))
         self.limits = deployment.limits
         self._rules = deployment.rules_of(pool_of(self.shard))
         if self._rules.by_objective and isinstance(self.queue, WaitQueue):
@@ -106,7 +117,8 @@
         self.pool = deployment.pools.get(pool, self.pool)
         for record in self.servers.values():
             record.set_enabled(False)
-        for cfg in servers_of(deployment, self.shard):
+        self._shard_servers = servers_of(deployment, self.shard)
+        for cfg in self._shard_servers:
             record = self.servers.setdefault(cfg.name, ServerRecord(cfg))
             incarnation = deployment.incarnations.get(cfg.name, 0)
             if record.incarnation != incarnation:
@@ -171,14 +183,13 @@
 
     def _apply_shares(self) -> None:
         """Limit slots and quotas to the part that this decider may use."""
-        shards = len(shards_of(self._deployment, pool_of(self.shard)))
         fraction = 1.0 if self.shares is None else self.shares.fraction
-        part = fraction / shards
-        quotas = self._deployment.quotas.items()
+        part = fraction / self._shard_count
+        quotas = self._quotas.items()
         self.quotas.apply({name: quota.part(part) for name, quota in quotas})
         limits = None
         if self.shares is not None:
-            limits = self.shares.limits(servers_of(self._deployment, self.shard))
+            limits = self.shares.limits(self._shard_servers)
         for name, record in self.servers.items():
             record.slot_limit = None if limits is None else limits[name]
 
--- a/src/amaranthferry/slot_shares.py
+++ b/src/amaranthferry/slot_shares.py
@@ -7,7 +7,7 @@
 """
 
 from collections import Counter
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Mapping
 
 import xxhash
 
@@ -28,6 +28,10 @@
         self._hosts = frozenset(hosts)
         self._relied_at: dict[HostId, Seconds] = {}
         self._turn = 0
+        self._servers: tuple[BackendServer, ...] = ()
+        # All hosts may come to rely on the decider in a moment, so both are kept.
+        self._slots: list[ServerId] = []
+        self._positions: dict[HostId, int] = {}
 
     @property
     def hosts(self) -> Collection[HostId]:
@@ -59,12 +63,16 @@
             del self._relied_at[host]
         return bool(expired) or turn != self._turn
 
-    def limits(self, servers: Collection[BackendServer]) -> Counter[ServerId]:
+    def limits(self, servers: tuple[BackendServer, ...]) -> Counter[ServerId]:
         """Return how many slots of each server belong to the relying hosts."""
-        hosts = self._hosts | self._relied_at.keys()
-        return owned_slots(
-            self._shard, servers, hosts, self._relied_at.keys(), turn=self._turn
-        )
+        if servers != self._servers:
+            self._servers = servers
+            self._slots = _slots_in_order(self._shard, servers)
+        owners = self._relied_at.keys()
+        hosts = self._hosts | owners
+        if self._positions.keys() != hosts:
+            self._positions = _positions(self._shard, hosts)
+        return _owned(self._slots, self._positions, owners, turn=self._turn)
 
 
 def owned_slots(
@@ -81,16 +89,29 @@
     take one. If there are fewer slots than hosts, they take turns.
     """
     slots = _slots_in_order(shard, servers)
-    order = sorted(hosts, key=lambda host: _position(shard, host))
-    positions = {order.index(host) for host in owners}
-    first = turn * len(slots) if len(slots) < len(order) else 0
+    return _owned(slots, _positions(shard, hosts), owners, turn=turn)
+
+
+def _owned(
+    slots: list[ServerId],
+    positions: Mapping[HostId, int],
+    owners: Collection[HostId],
+    *,
+    turn: int,
+) -> Counter[ServerId]:
+    count = len(positions)
+    owned = {positions[host] for host in owners}
+    first = turn * len(slots) if len(slots) < count else 0
     return Counter(
-        server
-        for number, server in enumerate(slots, first)
-        if number % len(order) in positions
+        server for number, server in enumerate(slots, first) if number % count in owned
     )
 
 
+def _positions(shard: ShardId, hosts: Collection[HostId]) -> dict[HostId, int]:
+    order = sorted(hosts, key=lambda host: _position(shard, host))
+    return {host: number for number, host in enumerate(order)}
+
+
 def _slots_in_order(shard: ShardId, servers: Iterable[BackendServer]) -> list[ServerId]:
     """Return one entry per slot, such that neighbors are at different servers."""
     ordered = sorted(servers, key=lambda server: _position(shard, server.name))
--- a/tests/test_slot_shares.py
+++ b/tests/test_slot_shares.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from amaranthferry import slot_shares
 from amaranthferry.slot_shares import RELIANCE_TIME, SlotShares, owned_slots
 from tests.scheduling import server
 
@@ -50,3 +51,20 @@
     assert shares.fraction == 0.5
     assert shares.expire(1.5 + RELIANCE_TIME)
     assert shares.fraction == 0.25
+
+
+def test_hosts_that_all_come_to_rely_at_once_are_not_ordered_anew_for_each(monkeypatch):
+    ordered = []
+    position = slot_shares._position
+    monkeypatch.setattr(
+        slot_shares,
+        "_position",
+        lambda shard, name: ordered.append(name) or position(shard, name),
+    )
+    fleet, names = tuple(servers(64)), hosts(370)
+    shares = SlotShares(SHARD, names)
+    for name in names:
+        shares.record_reliance(name, 0.0)
+        limits = shares.limits(fleet)
+    assert limits == {cfg.name: cfg.slots for cfg in fleet}
+    assert len(ordered) <= len(fleet) + len(names)
