Choose the successor among the hosts that could carry the shard

Where one host is far larger than all others, all would have turned to one of the smallest.

Cause: capable hosts are those with half of the greatest capacity. A successor was ranked by that of all hosts, the coordinator's included, although it takes the role only once the coordinator is gone, and then the largest of the rest counts. So it could be a small host, and another than the one that takes the role, and its queue was lost then.

Change: the successor is the coordinator that the hosts would choose without the present one. Cached assignments keep the hosts that this was chosen from.

Evidence: the new test in tests/test_shards.py fails on the unchanged logic, for one large host and for sizes of 11, 5 and 3. choose_successor takes the capacities now, and the older test passes them with the same assertion.

--- a/src/amaranthferry/shards.py
+++ b/src/amaranthferry/shards.py
@@ -1,6 +1,7 @@
 """Split pools into shards and choose each shard's coordinator."""
 
 from collections.abc import Collection, Iterable, Mapping
+from types import MappingProxyType
 
 import xxhash
 
@@ -51,13 +52,18 @@
 
 
 def choose_successor(
-    shard: ShardId, hosts: Iterable[HostId], capable: Collection[HostId] = ()
+    shard: ShardId,
+    hosts: Iterable[HostId],
+    capacities: Mapping[HostId, float] = MappingProxyType({}),
 ) -> HostId | None:
     """Return the host that would coordinate a shard if its coordinator were lost."""
     candidates = tuple(hosts)
+    capable = capable_hosts(candidates, capacities)
     coordinator = choose_coordinator(shard, candidates, capable)
     others = tuple(host for host in candidates if host != coordinator)
-    return choose_coordinator(shard, others, capable) if others else None
+    if not others:
+        return None
+    return choose_coordinator(shard, others, capable_hosts(others, capacities))
 
 
 def outranks(
--- a/src/amaranthferry/state.py
+++ b/src/amaranthferry/state.py
@@ -41,19 +41,33 @@
     coordinator: HostId
     successor: HostId | None
 
+    #: The hosts that could carry the shard if its coordinator were lost.
+    capable: frozenset[HostId]
+
     def is_affected(
         self,
         shard: ShardId,
         removed: frozenset[HostId],
         added: frozenset[HostId],
         capable: frozenset[HostId],
+        others: frozenset[HostId],
     ) -> bool:
-        """Return whether removed or added hosts change the assignment."""
+        """Return whether removed or added hosts change the assignment.
+
+        `capable` are the hosts that can carry the shard, and `others` those that could
+        without its coordinator.
+        """
         if self.successor is None:
             return bool(removed or added)
         if self.coordinator in removed or self.successor in removed:
             return True
-        return any(outranks(shard, host, self.successor, capable) for host in added)
+        if (others ^ self.capable) - removed - added:
+            return True
+        return any(
+            outranks(shard, host, self.coordinator, capable)
+            or outranks(shard, host, self.successor, others)
+            for host in added
+        )
 
 
 class Absence(msgspec.Struct):
@@ -135,9 +149,15 @@
         removed, added = before - after, after - before
         reranked = bool((capable_before ^ self._capable) & before & after)
         for shard, assignment in list(self.assignments.items()):
-            if reranked or assignment.is_affected(shard, removed, added, self._capable):
+            others = self._capable_without(assignment.coordinator)
+            if reranked or assignment.is_affected(
+                shard, removed, added, self._capable, others
+            ):
                 del self.assignments[shard]
 
+    def _capable_without(self, host: HostId) -> frozenset[HostId]:
+        return capable_hosts(self._candidates() - {host}, self.capacities)
+
     def _record_lost_hosts(self, hosts: tuple[HostId, ...]) -> None:
         since = self.now - LOST_HOST_RETENTION
         kept = {h: at for h, at in self.lost_hosts.items() if at >= since}
@@ -181,9 +201,11 @@
         # Rendezvous hashing computes one hash per host, too slow for every message.
         if shard not in self.assignments:
             hosts = self._candidates()
+            coordinator = choose_coordinator(shard, hosts, self._capable)
             self.assignments[shard] = ShardAssignment(
-                choose_coordinator(shard, hosts, self._capable),
-                choose_successor(shard, hosts, self._capable),
+                coordinator,
+                choose_successor(shard, hosts, self.capacities),
+                self._capable_without(coordinator),
             )
         return self.assignments[shard]
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -27,7 +27,11 @@
     PermitRelease,
     PermitRequest,
 )
-from amaranthferry.shards import choose_coordinator, choose_successor
+from amaranthferry.shards import (
+    capable_hosts,
+    choose_coordinator,
+    choose_successor,
+)
 from amaranthferry.types import (
     ClassId,
     FallbackCause,
@@ -297,6 +301,22 @@
             assert state.successor_of(shard) == choose_successor(shard, live)
 
 
+def test_cached_assignments_equal_recomputed_ones_of_unequal_hosts():
+    rng = random.Random(8)
+    state = new_state()
+    shards = [ShardId(f"engines/{index}") for index in range(40)]
+    for _ in range(200):
+        names = [HostId(f"h{rng.randrange(12)}") for _ in range(rng.randrange(1, 9))]
+        hosts = tuple(dict.fromkeys(names))
+        known = {host: rng.choice((0.0, 0.36, 1.0, 3.0, 9.0)) for host in hosts}
+        state.replace_hosts(hosts, (), known)
+        capable = capable_hosts(hosts, known)
+        for shard in shards:
+            coordinator = choose_coordinator(shard, hosts, capable)
+            assert state.coordinator_of(shard) == coordinator
+            assert state.successor_of(shard) == choose_successor(shard, hosts, known)
+
+
 def test_session_of_one_request(snapshot):
     state = new_state()
     script = [
--- a/tests/test_shards.py
+++ b/tests/test_shards.py
@@ -46,7 +46,7 @@
     for shard in shards:
         roles = {
             choose_coordinator(shard, HOSTS, capable),
-            choose_successor(shard, HOSTS, capable),
+            choose_successor(shard, HOSTS, capacities),
         }
         assert roles == {"h3", "h7"}
     rest = [host for host in HOSTS if host not in ("h3", "h7")]
@@ -54,6 +54,22 @@
     assert len({choose_coordinator(shard, rest, left) for shard in shards}) > 10
 
 
+@pytest.mark.parametrize(
+    "capacities",
+    [
+        dict.fromkeys(HOSTS, 0.36) | {"h3": 9.0, "h7": 2.0, "h8": 2.1},
+        dict.fromkeys(HOSTS, 0.36) | {"h3": 11.0, "h7": 5.0, "h8": 3.0},
+    ],
+)
+def test_successor_of_one_large_host_is_the_host_that_takes_its_role(capacities):
+    rest = [host for host in HOSTS if host != "h3"]
+    left = capable_hosts(rest, capacities)
+    for shard in (f"models/{index}" for index in range(50)):
+        successor = choose_successor(shard, HOSTS, capacities)
+        assert successor in ("h7", "h8")
+        assert successor == choose_coordinator(shard, rest, left)
+
+
 def test_hosts_of_unknown_capacity_are_equal():
     assert capable_hosts(HOSTS, {}) == set(HOSTS)
 
