Let operators state what a host of the product's own interface can carry

Cause: the host file had no key for the capacity that a host tells the others; the test that compares sections with their structs failed (test_schema_covers_each_field_of_its_struct).

Change: the optional key capacity in the host file, which membership passes on.

--- a/src/amaranthferry/application.py
+++ b/src/amaranthferry/application.py
@@ -221,6 +221,7 @@
             now=self.clock(),
             hosts=tuple(member.host for member in members),
             draining=tuple(member.host for member in members if member.draining),
+            capacities={member.host: member.capacity for member in members},
         )
         self.handle(changed)
         self.claims.set_host_count(len(members))
--- a/src/amaranthferry/schema.py
+++ b/src/amaranthferry/schema.py
@@ -123,6 +123,7 @@
         "seeds": Key(units.ADDRESSES),
         "statsd_address": Key(units.ADDRESS),
         "log_level": Key(units.NAME),
+        "capacity": Key(units.POSITIVE),
     },
     named=False,
 )
--- a/tests/test_hostfile.py
+++ b/tests/test_hostfile.py
@@ -20,6 +20,7 @@
     path = tmp_path / "host.ini"
     path.write_text(HOST)
     cfg = read_host_config(path).unwrap()
+    assert cfg.capacity == 0.0
     assert (cfg.host, cfg.zone, cfg.log_level) == ("h1", "larisa", "info")
     assert cfg.seeds == ("10.0.0.2:8001", "10.0.0.3:8001")
     assert cfg.platform_url == "http://10.0.0.9:9000"
@@ -52,3 +53,12 @@
 def test_example_host_file_is_valid():
     path = Path(__file__).parent.parent / "examples" / "host.ini"
     assert read_host_config(path).unwrap().zone == "larisa"
+
+
+def test_capacity_is_a_number_above_zero(tmp_path):
+    path = tmp_path / "host.ini"
+    path.write_text(HOST + "capacity = 2.5\n")
+    assert read_host_config(path).unwrap().capacity == 2.5
+    path.write_text(HOST + "capacity = 0\n")
+    (error,) = read_host_config(path).failure()
+    assert "above 0" in str(error)
