Let hosts meet at the next decider when the successor is gone too

Where many hosts die at once, the coordinator and its successor are often among them; each of the others then decided on its own few slots, with a queue of its own.

Change: a host asks up to three deciders after the coordinator, in the order in which they would get the role, before it decides by itself.

Evidence: the new test fails before: hosts with two silent deciders fall back.

--- a/src/amaranthferry/fallback.py
+++ b/src/amaranthferry/fallback.py
@@ -1,9 +1,9 @@
 """Have others decide permits while a shard's coordinator doesn't answer.
 
 This is for coordinators that are gone, cut off or too slow. A host turns to the shard's
-successor first, where all hosts that don't reach the coordinator meet, and decides for
-itself only if that doesn't answer either. Neither uses more than the slots that belong
-to the hosts it decides for, and the hosts return one after the other.
+successor, where all hosts that don't reach the coordinator meet, or to the one after it,
+and decides for itself only if none of them answers. None uses more than the slots that
+belong to the hosts it decides for, and the hosts return one after the other.
 """
 
 import math
@@ -30,6 +30,8 @@
 MAX_ABSENCE: Seconds = 4.0
 #: Time with the coordinator after which the shortest time applies again.
 STABLE_TIME: Seconds = 10.0
+#: Stand-ins that a host asks, one after the other, before it decides by itself.
+MAX_STAND_INS = 3
 
 
 def check_coordinators(state: HostState) -> list[Effect]:
@@ -85,7 +87,7 @@
     if shard in state.fallbacks:
         return []
     waiting, left = _waiting(state, shard), state.permit_host(shard)
-    effects = _turn_away(state, shard)
+    effects = _turn_away(state, shard, left)
     report = ReportFallbackStart(
         shard=shard,
         coordinator=left,
@@ -97,13 +99,14 @@
     return [report, *effects]
 
 
-def _turn_away(state: HostState, shard: ShardId) -> list[Effect]:
-    coordinator, successor = state.coordinator_of(shard), state.successor_of(shard)
+def _turn_away(state: HostState, shard: ShardId, left: HostId) -> list[Effect]:
     absence = state.absences.get(shard)
     if absence is None or absence.ended is not None:
         absence = state.absences[shard] = _begin_absence(state, absence)
-    if shard not in state.stand_ins and successor not in (None, coordinator):
-        state.stand_ins[shard] = successor
+    absence.silent |= {left, state.coordinator_of(shard)}
+    stand_in = state.decider_without(shard, absence.silent)
+    if stand_in is not None and len(absence.silent) <= MAX_STAND_INS:
+        state.stand_ins[shard] = stand_in
         counted = CountMetric(name="coordinator.stand_ins")
         return [counted, *register_requests(state, shard)]
     state.stand_ins.pop(shard, None)
--- a/src/amaranthferry/state.py
+++ b/src/amaranthferry/state.py
@@ -75,6 +75,8 @@
 
     began: Seconds
     minimum: Seconds
+    #: The deciders that haven't answered, the coordinator among them.
+    silent: frozenset[HostId] = frozenset()
     ended: Seconds | None = None
 
 
@@ -197,6 +199,16 @@
         """Return the host that succeeds a shard's coordinator in this host's view."""
         return self._assignment(shard).successor
 
+    def decider_without(
+        self, shard: ShardId, silent: frozenset[HostId]
+    ) -> HostId | None:
+        """Return the host that would coordinate a shard without some of the hosts."""
+        others = self._candidates() - silent
+        if not others:
+            return None
+        capable = capable_hosts(others, self.capacities)
+        return choose_coordinator(shard, others, capable)
+
     def _assignment(self, shard: ShardId) -> ShardAssignment:
         # Rendezvous hashing computes one hash per host, too slow for every message.
         if shard not in self.assignments:
--- a/tests/test_fallback.py
+++ b/tests/test_fallback.py
@@ -216,6 +216,24 @@
     assert not host.dispatched
 
 
+def test_hosts_whose_deciders_are_silent_meet_at_the_next_one():
+    hosts = names(16)
+    first = new_state(hosts[0], hosts)
+    gone = {first.coordinator_of(SHARD), first.successor_of(SHARD)}
+    met = set()
+    for name in hosts:
+        host = LoneHost(new_state(name, hosts))
+        third = host.state.decider_without(SHARD, frozenset(gone))
+        if name in {*gone, third}:
+            continue
+        host.notifying = [third]
+        host.apply(arrival("r1", timeout=30.0))
+        host.run(3.0)
+        met |= set(host.state.stand_ins.values())
+        assert not host.state.fallbacks
+    assert met == {third}
+
+
 def test_successor_decides_only_on_the_slots_of_hosts_that_rely_on_it():
     hosts = names(16)
     successor = new_state(hosts[0], hosts).successor_of(SHARD)
