--- a/src/amaranthferry/availability.py
+++ b/src/amaranthferry/availability.py
@@ -19,6 +19,7 @@
     BACKED_OFF = "backed_off"
     STRAGGLING = "straggling"
     PREFILL_BACKLOG = "prefill_backlog"
+    PREFILL_OVERDUE = "prefill_overdue"
 
 
 def availability_of(
@@ -32,7 +33,8 @@
     if not record.straggler.may_probe(now):
         return Availability.STRAGGLING
     if record.prefill_starts(now) > now + MAX_PREFILL_BACKLOG:
-        return Availability.PREFILL_BACKLOG
+        overdue = record.prefill_free_at < now
+        return Availability.PREFILL_OVERDUE if overdue else Availability.PREFILL_BACKLOG
     slots = record.cfg.slots * record.straggler.share * share
     if ceil(max(1.0, slots)) <= len(record.permits):
         return Availability.FULL
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -97,6 +97,6 @@
         line.kwargs["permits"],
         line.kwargs["idle_slots"],
     ) == (1, 2, 6)
-    assert line.kwargs["servers"] == {"prefill_backlog": 2}
+    assert line.kwargs["servers"] == {"prefill_overdue": 2}
     assert line.kwargs["oldest"] == 0.2
     assert line.kwargs["fallback"] is False
--- a/tests/test_availability.py
+++ b/tests/test_availability.py
@@ -22,12 +22,17 @@
     record.prefill_free_at = 10.0
 
 
+def report_late(record):
+    record.prefill_tokens = 1
+
+
 CASES = {
     Availability.FREE: lambda record: None,
     Availability.NOT_LIVE: leave,
     Availability.BACKED_OFF: back_off,
     Availability.STRAGGLING: straggle,
     Availability.PREFILL_BACKLOG: fall_behind,
+    Availability.PREFILL_OVERDUE: report_late,
 }
 
 
