Spread the hosts' periodic registrations

Cause: each host registers its requests 5 s after its start and every 5 s from then, and a fleet starts at once, so all 137 hosts register within half a second.

Change: each host has its own part of the period, by its name.

Evidence: the new test has all 136 registrations in one half second before; now at most three times the mean.

--- a/src/amaranthferry/coordination.py
+++ b/src/amaranthferry/coordination.py
@@ -1,5 +1,7 @@
 """Run the coordinators of this host, and apply host, server and settings changes."""
 
+import xxhash
+
 from . import coordinator_reducer
 from .coordinator import Coordinator
 from .deploying import apply_deployment
@@ -131,12 +133,19 @@
     _close_unused(state)
     effects += check_coordinators(state) + exchange_parts(state)
     effects += check_answers(state)
-    if state.now - state.registered_at >= REGISTRATION_PERIOD:
-        state.registered_at = state.now
+    period = int((state.now + _registration_phase(state.host)) / REGISTRATION_PERIOD)
+    if period != state.registration_period:
+        state.registration_period = period
         effects += register_all(state)
     return effects
 
 
+def _registration_phase(host: HostId) -> Seconds:
+    """Return a host's part of the period, since hosts often start together."""
+    digest = xxhash.xxh32_intdigest(f"registration\0{host}".encode())
+    return REGISTRATION_PERIOD * digest / 2**32
+
+
 def _close_unused(state: HostState) -> None:
     """Drop what this host decided for others that have all returned."""
     for shard, coordinator in list(state.coordinators.items()):
--- a/src/amaranthferry/state.py
+++ b/src/amaranthferry/state.py
@@ -103,7 +103,8 @@
     last_received: dict[HostId, Seconds] = {}
     server_reports: dict[ServerId, dict[ServerStateSource, ServerState]] = {}
     budgets: dict[PoolId, RetryBudget] = {}
-    registered_at: Seconds = 0.0
+    #: Number of the period in which this host last registered its requests.
+    registration_period: int = 0
     order_drains: dict[ServerId, Seconds] = {}
     assignments: dict[ShardId, ShardAssignment] = {}
     pool_shards: dict[PoolId, tuple[ShardId, ...]] = {}
--- a/tests/test_fallback.py
+++ b/tests/test_fallback.py
@@ -392,3 +392,21 @@
         host.receive(others[1], ask(f"later-{number}"))
     host.run(11.0)
     assert len(host.grants(since=10.0)) >= 8 * SLOTS // 16
+
+
+def test_hosts_that_start_together_do_not_all_register_in_the_same_moment():
+    registered = Counter()
+    for name in names(137):
+        host = LoneHost(new_state(name, names(137)))
+        if host.state.coordinator_of(SHARD) == name:
+            continue
+        host.notifying = [host.state.coordinator_of(SHARD)]
+        host.apply(arrival("r1", timeout=60.0))
+        host.run(10.0)
+        registered.update(
+            int(at / 0.5)
+            for at, _, message in host.sent
+            if isinstance(message, Registration) and 5.0 <= at < 9.99
+        )
+    assert registered.total() == 136
+    assert max(registered.values()) <= 3 * 136 / 10
