Wait for a stand-in as long as for the coordinator

Cause: a decider counts as silent once neither a message from it came nor the request was made within the limit, 0.35 s and more. A request that had waited that long for the coordinator was already overdue as it moved to the successor, from which a host usually has heard nothing lately. So each host decided for itself one tick (0.05 s) later, unless the successor's first notice came within that. It was the same for a new coordinator after a change of the hosts.

Change: the time counts from when a request moved to another decider. The time of the permit request stays, since a grant from before a suspension must not be used after it.

Evidence: both new tests fail before. Existing ones had the successor send a notice with every tick, so they didn't see this.

--- a/src/amaranthferry/fallback.py
+++ b/src/amaranthferry/fallback.py
@@ -54,8 +54,9 @@
 def _is_unanswered(state: HostState, req: Request) -> bool:
     if req.permit_host is None or req.permit_host == state.host:
         return False
-    last_received = max(state.last_received.get(req.permit_host, 0.0), req.requested_at)
-    return state.now - last_received >= _silence_limit(state, req.shard)
+    last_received = state.last_received.get(req.permit_host, 0.0)
+    since = max(last_received, req.requested_at, req.moved_at)
+    return state.now - since >= _silence_limit(state, req.shard)
 
 
 def _silence_limit(state: HostState, shard: ShardId) -> Seconds:
--- a/src/amaranthferry/registration.py
+++ b/src/amaranthferry/registration.py
@@ -47,7 +47,8 @@
         if req.is_running:
             running.append(req.running_work(state.now))
         elif req.state is RequestState.WAITING and is_deciding:
-            req.permit_host = target
+            if req.permit_host != target:
+                req.permit_host, req.moved_at = target, state.now
             waiting.append(req.permit_request(state.now))
     usage = state.usage.get(shard)
     message = Registration(
--- a/src/amaranthferry/requests.py
+++ b/src/amaranthferry/requests.py
@@ -58,6 +58,8 @@
     shard: ShardId = ShardId("")
     permit_host: HostId | None = None
     requested_at: Seconds = 0.0
+    #: When another host was last asked to decide instead.
+    moved_at: Seconds = 0.0
     server: ServerId | None = None
     dispatched_at: Seconds = 0.0
     first_token: Seconds = 0.0
--- a/tests/test_fallback.py
+++ b/tests/test_fallback.py
@@ -234,6 +234,32 @@
     assert met == {third}
 
 
+def test_host_waits_for_a_successor_as_long_as_for_the_coordinator():
+    host = ordinary_host(names(16))
+    host.apply(arrival("r1", timeout=30.0))
+    host.run(0.6)
+    assert not host.state.fallbacks
+    host.notifying = [host.state.successor_of(SHARD)]
+    host.run(2.0)
+    assert host.state.stand_ins
+    assert not host.state.fallbacks
+
+
+def test_host_waits_for_a_new_coordinator_from_when_it_has_registered_with_it():
+    hosts = names(16)
+    host = ordinary_host(hosts)
+    before = host.state.coordinator_of(SHARD)
+    host.notifying = [before]
+    host.apply(arrival("r1", timeout=30.0))
+    host.run(1.0)
+    host.notifying = ()
+    rest = tuple(name for name in hosts if name != before)
+    host.apply(events.MembersChanged(now=host.state.now, hosts=rest))
+    host.run(1.3)
+    assert not host.state.stand_ins
+    assert not host.state.fallbacks
+
+
 def test_successor_decides_only_on_the_slots_of_hosts_that_rely_on_it():
     hosts = names(16)
     successor = new_state(hosts[0], hosts).successor_of(SHARD)
