Don't take a coordinator for silent because this host is late

Cause: a host checks for silence on its ticks. After a late tick, of a host short of processor time or suspended, the time since the last message includes its own delay: the messages may have come and wait to be read. So it turned from a sound coordinator.

Change: the time since the previous tick doesn't count if that is over 0.15 s, at a period of 0.05 s, nor does anything before the end of a suspension.

--- a/src/amaranthferry/coordination.py
+++ b/src/amaranthferry/coordination.py
@@ -124,6 +124,7 @@
 
 @apply_event.register
 def _(event: Ticked, state: HostState) -> list[Effect]:
+    since_tick = 0.0 if state.ticked_at is None else state.now - state.ticked_at
     state.ticked_at = state.now
     effects = expire(state) + _expire_order_drains(state) + end_hold_offs(state)
     for coordinator in list(state.coordinators.values()):
@@ -131,7 +132,7 @@
     for fallback in list(state.fallbacks.values()):
         effects += coordinator_reducer.reduce(fallback, event)
     _close_unused(state)
-    effects += check_coordinators(state) + exchange_parts(state)
+    effects += check_coordinators(state, since_tick) + exchange_parts(state)
     effects += check_answers(state)
     period = int((state.now + _registration_phase(state.host)) / REGISTRATION_PERIOD)
     if period != state.registration_period:
--- a/src/amaranthferry/fallback.py
+++ b/src/amaranthferry/fallback.py
@@ -24,6 +24,8 @@
 
 #: Queue notices that may be lost or late before a decider counts as not answering.
 MISSED_NOTICES = 3.5
+#: Time between two ticks of a host above which it is late itself.
+LATE_TICK: Seconds = 0.15
 #: Shortest time for which a host stays with another decider, and the longest; it
 #: doubles while the coordinator stops answering again and again.
 MIN_ABSENCE: Seconds = 0.5
@@ -34,14 +36,18 @@
 MAX_STAND_INS = 3
 
 
-def check_coordinators(state: HostState) -> list[Effect]:
-    """Turn from deciders that don't answer, and return to coordinators that do."""
+def check_coordinators(state: HostState, since_tick: Seconds) -> list[Effect]:
+    """Turn from deciders that don't answer, and return to coordinators that do.
+
+    After a late tick of this host, messages may have come that it has yet to read.
+    """
+    own_delay = since_tick if since_tick > LATE_TICK else 0.0
     overdue = {
-        req.shard: req.permit_host
+        req.shard
         for req in state.requests.values()
         if req.state is RequestState.WAITING
         and req.permit_host == state.permit_host(req.shard)
-        and _is_unanswered(state, req)
+        and _is_unanswered(state, req, own_delay)
     }
     effects: list[Effect] = []
     for shard in sorted(overdue):
@@ -51,12 +57,12 @@
     return effects + _return_to_coordinators(state)
 
 
-def _is_unanswered(state: HostState, req: Request) -> bool:
+def _is_unanswered(state: HostState, req: Request, own_delay: Seconds) -> bool:
     if req.permit_host is None or req.permit_host == state.host:
         return False
     last_received = state.last_received.get(req.permit_host, 0.0)
-    since = max(last_received, req.requested_at, req.moved_at)
-    return state.now - since >= _silence_limit(state, req.shard)
+    since = max(last_received, req.requested_at, req.moved_at, state.resumed_at)
+    return state.now - since - own_delay >= _silence_limit(state, req.shard)
 
 
 def _silence_limit(state: HostState, shard: ShardId) -> Seconds:
