Register with the coordinator while a stand-in decides, also without requests

Cause: a coordinator that starts again, or was suspended, sends adverts only once it has a message for its shard, and hosts return once they hear from it. The registration of every 5 s left out shards that a stand-in decides and that have no request at that moment, so at low load hosts could stay on their part of the slots and quotas.

Change: those shards are registered as well, as those of fallbacks were.

Evidence: the new test fails before.

--- a/src/amaranthferry/registration.py
+++ b/src/amaranthferry/registration.py
@@ -25,7 +25,7 @@
     """Register every request with its coordinator, to recover from lost messages."""
     shards = {req.shard for req in state.requests.values() if req.shard}
     effects: list[Effect] = []
-    for shard in sorted(shards | set(state.fallbacks)):
+    for shard in sorted(shards.union(state.fallbacks, state.stand_ins)):
         hosts = (state.coordinator_of(shard), state.permit_host(shard))
         for host in dict.fromkeys(hosts):
             effects += register_requests(state, shard, host=host)
--- a/tests/test_fallback.py
+++ b/tests/test_fallback.py
@@ -461,3 +461,15 @@
     for number in range(1, 6):
         host.apply(events.Ticked(now=0.2 * number))
     assert host.state.stand_ins
+
+
+def test_host_without_requests_returns_from_a_stand_in():
+    host = ordinary_host(names(16))
+    coordinator = host.state.coordinator_of(SHARD)
+    host.notifying = [host.state.successor_of(SHARD)]
+    host.apply(arrival("r1", timeout=1.0))
+    host.run(0.6)
+    assert host.state.stand_ins
+    host.run(12.0)
+    # Only then does a coordinator that has started again know of the host.
+    assert coordinator in host.asked(Registration, since=6.0)
