Don't have a coordinator count work whose release it doesn't get

A coordinator that had been silent for 3 s granted almost nothing for 10 s and more after it answered again.

Cause: every 5 s each host registers its running requests with the coordinator, also while another host decides. The releases of those that the other host had granted go to that host alone. A coordinator that is late reads such a registration after the work has ended and counts it as begun a moment ago; for 5 s it ignores registrations that don't list it. Since hosts register together, this filled the slots of all servers. It keeps sending queue notices, so no host turned away again.

Change: while another host decides, a coordinator is told only of the work that it granted. A host remembers whom it told of a dispatch, and all of them get its release.

--- a/src/amaranthferry/registration.py
+++ b/src/amaranthferry/registration.py
@@ -39,12 +39,14 @@
     waiting = []
     running = []
     target = host or state.permit_host(shard)
-    # During a fallback, only running requests are registered with the coordinator.
+    # While another host decides, the coordinator hears of the work that it granted. It
+    # would hold the slots of other work for as long as it is late to read its release.
     is_deciding = target == state.permit_host(shard)
     for req in state.requests.values():
         if req.shard != shard:
             continue
-        if req.is_running:
+        if req.is_running and (is_deciding or req.permit_host == target):
+            req.registered_with.add(target)
             running.append(req.running_work(state.now))
         elif req.state is RequestState.WAITING and is_deciding:
             if req.permit_host != target:
--- a/src/amaranthferry/requests.py
+++ b/src/amaranthferry/requests.py
@@ -60,6 +60,8 @@
     requested_at: Seconds = 0.0
     #: When another host was last asked to decide instead.
     moved_at: Seconds = 0.0
+    #: The hosts that were told of the current dispatch, beside the one that granted it.
+    registered_with: set[HostId] = set()
     server: ServerId | None = None
     dispatched_at: Seconds = 0.0
     first_token: Seconds = 0.0
--- a/src/amaranthferry/running.py
+++ b/src/amaranthferry/running.py
@@ -200,7 +200,7 @@
     dispatched: bool = True,
     failed: bool = False,
 ) -> list[Effect]:
-    """Release the permit at the granting host and at the one that decides now."""
+    """Release the permit at all hosts that may count it."""
     assert req.server is not None
     message = PermitRelease(
         request_id=req.arrival.request_id,
@@ -217,12 +217,9 @@
         sound=_is_sound(state, req, finished),
     )
     deciding_host = state.permit_host(req.shard)
-    granting_host = req.permit_host or deciding_host
-    hosts = (
-        (deciding_host,)
-        if granting_host == deciding_host
-        else (deciding_host, granting_host)
-    )
+    hosts = dict.fromkeys((deciding_host, req.permit_host or deciding_host))
+    hosts |= dict.fromkeys(sorted(req.registered_with))
+    req.registered_with.clear()
     return [SendToHost(host=host, message=message) for host in hosts]
 
 
--- a/tests/test_fallback.py
+++ b/tests/test_fallback.py
@@ -16,6 +16,7 @@
     PermitGrant,
     PermitProgress,
     PermitQueued,
+    PermitRelease,
     PermitRequest,
     Registration,
     RunningWork,
@@ -473,3 +474,40 @@
     host.run(12.0)
     # Only then does a coordinator that has started again know of the host.
     assert coordinator in host.asked(Registration, since=6.0)
+
+
+def host_with_work_of_a_stand_in():
+    host = ordinary_host(names(16))
+    successor = host.state.successor_of(SHARD)
+    host.notifying = [successor]
+    host.apply(arrival("r1", timeout=60.0))
+    host.run(0.6)
+    host.receive(successor, PermitGrant("r1", SHARD, "e0"))
+    assert host.dispatched == {"r1": "e0"}
+    return host, host.state.coordinator_of(SHARD), successor
+
+
+def test_silent_coordinator_does_not_count_work_whose_release_goes_elsewhere():
+    host, coordinator, _ = host_with_work_of_a_stand_in()
+    host.run(11.0)
+    registered = [
+        message
+        for at, target, message in host.sent
+        if target == coordinator and isinstance(message, Registration) and at > 0.6
+    ]
+    assert registered
+    assert not any(message.running for message in registered)
+
+
+def test_release_reaches_every_host_that_was_told_of_the_work():
+    host, coordinator, successor = host_with_work_of_a_stand_in()
+    host.run(2.0)
+    host.receive(coordinator, ShardAdvert(SHARD, coordinator, ()))
+    host.run(2.1)
+    assert not host.state.stand_ins
+    host.apply(arrival("r2", now=host.state.now, timeout=60.0))
+    host.run(2.6)
+    assert host.state.stand_ins
+    finished = events.DispatchFinished(now=host.state.now, request_id="r1")
+    host.apply(finished)
+    assert host.asked(PermitRelease, since=2.6) == {coordinator, successor}
