Relay the events of a stream where they arrive

Cause: each event passed two tasks and a queue on its way to the caller: three iterations of the event loop, two timers and four futures an event.

Change: while the caller reads and nothing is queued for it, an event is written to the caller in the call that received it. Otherwise it goes through the queue as before, so a slow caller holds back nothing else. The time limits are the same; relayed events move the one timer that is set.

test_relayed_events_keep_a_stream_at_its_server fails when the relayed events don't move the timer.

--- a/src/amaranthferry/gateway/dispatching.py
+++ b/src/amaranthferry/gateway/dispatching.py
@@ -123,6 +123,9 @@
         self._end: _AnswerEnd | None = None
         self._started_at: Seconds | None = None
         self._progress_at: Seconds = 0.0
+        self._unfinished = 0
+        #: When the server counts as silent unless it sends something before.
+        self._silent_at: Seconds = 0.0
         #: The state of the server's process after a broken answer.
         self.process: ServerProcess | None = None
 
@@ -252,13 +255,23 @@
         Otherwise the server's silence would end an answer that it may still send.
         """
         while True:
+            self._silent_at = self._clock() + timeout()
             try:
-                async with asyncio.timeout(timeout()):
-                    return await read()
+                return await self._read_until_silent(read)
             except TimeoutError:
                 if self._can_rerun() or self._call.deadline <= self._clock():
                     raise
 
+    async def _read_until_silent(self, read: Callable[[], Awaitable[_Part]]) -> _Part:
+        while True:
+            try:
+                async with asyncio.timeout(self._silent_at - self._clock()):
+                    return await read()
+            except TimeoutError:
+                # Chunks that were relayed meanwhile have moved the time.
+                if self._silent_at <= self._clock():
+                    raise
+
     def _start_timeout(self) -> Seconds:
         """Return the timeout for the start of the answer."""
         left = max(0.0, self._call.deadline - self._clock())
@@ -331,26 +344,11 @@
     ) -> _AnswerEnd:
         """Relay a stream; a resumable one only in complete events."""
         self._exchange.begin(start)
-        reader = EventReader(complete_only=self._call.route.resumable)
-        self._reader = reader
-        self._progress_at, unfinished = self._clock(), 0
-        while True:
-            chunk = await self._wait_for(conn.chunk, self._gap_timeout)
-            if not chunk:
-                break
-            self._count_tokens(chunk, reader)
-            passed = reader.feed(chunk)
-            unfinished += len(chunk)
-            if reader.has_event or unfinished >= PROGRESS_BYTES:
-                self._progress_at, unfinished = self._clock(), 0
-            elif self._stalled_for() >= self._max_gap() and self._can_rerun():
-                raise BrokenAnswer("The stream brings bytes, but no event.")
-            if reader.partial_size > MAX_EVENT_BYTES:
-                raise BrokenAnswer("An event of the stream is too long.")
-            self._exchange.last_event_id = (
-                reader.last_event_id or self._exchange.last_event_id
-            )
-            if passed:
+        self._reader = reader = EventReader(complete_only=self._call.route.resumable)
+        self._progress_at = self._clock()
+        conn.relay_to(lambda chunk: self._relay_now(chunk, reader))
+        while chunk := await self._wait_for(conn.chunk, self._gap_timeout):
+            if passed := self._process(chunk, reader):
                 await self._exchange.feed(passed)
         if reader.is_inside_event:
             raise BrokenAnswer("The stream ended inside an event.")
@@ -359,6 +357,31 @@
         self._exchange.finish()
         return _AnswerEnd.COMPLETE
 
+    def _relay_now(self, chunk: bytes, reader: EventReader) -> bool:
+        """Relay a chunk unless the caller has to be waited for."""
+        writer = self._exchange.writer
+        if writer is None:
+            return False
+        if passed := self._process(chunk, reader):
+            writer.write(passed)
+        self._silent_at = self._clock() + self._gap_timeout()
+        return True
+
+    def _process(self, chunk: bytes, reader: EventReader) -> bytes:
+        """Record a chunk and return the bytes to relay; raise BrokenAnswer."""
+        self._count_tokens(chunk)
+        passed = reader.feed(chunk)
+        self._unfinished += len(chunk)
+        if reader.has_event or self._unfinished >= PROGRESS_BYTES:
+            self._progress_at, self._unfinished = self._clock(), 0
+        elif self._stalled_for() >= self._max_gap() and self._can_rerun():
+            raise BrokenAnswer("The stream brings bytes, but no event.")
+        if reader.partial_size > MAX_EVENT_BYTES:
+            raise BrokenAnswer("An event of the stream is too long.")
+        if reader.last_event_id:
+            self._exchange.last_event_id = reader.last_event_id
+        return passed
+
     def _max_gap(self) -> Seconds:
         objective = self._call.route.gap_objective
         return max(STREAM_GAP_TIMEOUT, GAP_OBJECTIVES * objective)
@@ -375,7 +398,7 @@
             return min(left, max(STALL_CHECK_PERIOD, remaining))
         return left
 
-    def _count_tokens(self, chunk: bytes, reader: EventReader) -> None:
+    def _count_tokens(self, chunk: bytes) -> None:
         now = self._clock()
         if self._exchange.first_byte is None:
             self._exchange.first_byte = now
--- a/src/amaranthferry/gateway/edge.py
+++ b/src/amaranthferry/gateway/edge.py
@@ -23,6 +23,7 @@
 from ..types import ModelId, PoolId, Seconds
 from .dispatching import RoutedCall
 from .exchange import BufferedAnswer, RoutedExchange, TruncatedAnswer
+from .listener import FLOW_STATE, FlowState
 from .log_events import LogEvent
 
 if TYPE_CHECKING:
@@ -65,7 +66,10 @@
 
     async def _answer(self, scope: Scope, receive: Receive, send: Send) -> None:
         responder = Responder(
-            send, closing=self._app.stopping, bodiless=scope["method"] == "HEAD"
+            send,
+            closing=self._app.stopping,
+            bodiless=scope["method"] == "HEAD",
+            flow=scope.get("state", {}).get(FLOW_STATE),
         )
         received = [
             (k.decode("latin-1"), v.decode("latin-1")) for k, v in scope["headers"]
@@ -187,6 +191,7 @@
             await responder.answer(head)
         else:
             await responder.start(head)
+            exchange.attach(responder)
             try:
                 async for chunk in exchange.body():
                     await responder.chunk(chunk)
@@ -199,10 +204,23 @@
 class Responder:
     """Write one response to a caller."""
 
-    def __init__(self, send: Send, *, closing: bool, bodiless: bool = False) -> None:
+    def __init__(
+        self,
+        send: Send,
+        *,
+        closing: bool,
+        bodiless: bool = False,
+        flow: FlowState | None = None,
+    ) -> None:
         self._send = send
         self._closing = closing
         self._bodiless = bodiless
+        self._flow = flow
+
+    @property
+    def is_writable(self) -> bool:
+        """Return whether the connection takes bytes without a wait."""
+        return self._flow is not None and not self._flow.write_paused
 
     async def start(self, start: AnswerStart, length: int | None = None) -> None:
         """Write the status and headers of a server's answer."""
@@ -222,6 +240,10 @@
         """Write a chunk of a stream."""
         await self._body(chunk, more=True)
 
+    def write(self, chunk: bytes) -> None:
+        """Write a chunk of a stream without waiting, while `is_writable`."""
+        _run_without_wait(self._send(_body_message(chunk, more=True)))
+
     async def end(self) -> None:
         """Write the end of a stream."""
         await self._body(b"", more=False)
@@ -252,7 +274,10 @@
         )
 
     async def _body(self, body: bytes, *, more: bool) -> None:
-        message = {"type": "http.response.body", "body": body, "more_body": more}
+        message = _body_message(body, more=more)
+        if self.is_writable:
+            await self._send(message)
+            return
         try:
             async with asyncio.timeout(CALLER_STALL_TIMEOUT):
                 await self._send(message)
@@ -262,6 +287,20 @@
             ) from exc
 
 
+def _run_without_wait(work: Awaitable[None]) -> None:
+    """Run work that is known not to wait."""
+    steps = work.__await__()
+    try:
+        next(steps)
+    except StopIteration:
+        return
+    raise RuntimeError("The write waits, though the connection was writable.")
+
+
+def _body_message(body: bytes, *, more: bool) -> dict[str, object]:
+    return {"type": "http.response.body", "body": body, "more_body": more}
+
+
 class StreamAborted(Exception):  # noqa: N818
     """Report that a stream ended early; the HTTP server then closes its connection."""
 
--- a/src/amaranthferry/gateway/exchange.py
+++ b/src/amaranthferry/gateway/exchange.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import msgspec
 
@@ -27,6 +27,17 @@
     """Report that a body ended early; internal."""
 
 
+class Writer(Protocol):
+    """Write the chunks of a stream to a caller."""
+
+    @property
+    def is_writable(self) -> bool:
+        """Return whether the caller reads fast enough for a write without a wait."""
+
+    def write(self, chunk: bytes) -> None:
+        """Write a chunk without waiting."""
+
+
 class RoutedExchange:
     """Track a call and its answer, over one or more dispatches."""
 
@@ -36,6 +47,9 @@
             asyncio.get_running_loop().create_future()
         )
         self._chunks: asyncio.Queue[bytes | None] = asyncio.Queue(MAX_QUEUED_CHUNKS)
+        self._writer: Writer | None = None
+        #: Whether everything that left the queue has been written.
+        self._idle = False
         self._complete = False
         self._failure: BufferedAnswer | None = None
         self.last_event_id = ""
@@ -55,6 +69,17 @@
         if not self.head.done():
             self.head.set_result(start)
 
+    def attach(self, writer: Writer) -> None:
+        """Set the writer of a stream whose status and headers have been written."""
+        self._writer = writer
+
+    @property
+    def writer(self) -> Writer | None:
+        """Return the writer if a chunk can be written now, without the queue."""
+        if self._writer is None or not self._idle or not self._chunks.empty():
+            return None
+        return self._writer if self._writer.is_writable else None
+
     async def feed(self, chunk: bytes) -> None:
         """Relay a chunk of a stream, waiting while the queue is full."""
         await self._chunks.put(chunk)
@@ -91,7 +116,14 @@
 
     async def body(self) -> AsyncIterator[bytes]:
         """Yield a stream's chunks; raise TruncatedAnswer if it ends early."""
-        while (chunk := await self._chunks.get()) is not None:
+        while (chunk := await self._next_chunk()) is not None:
             yield chunk
         if not self._complete:
             raise TruncatedAnswer
+
+    async def _next_chunk(self) -> bytes | None:
+        self._idle = True
+        try:
+            return await self._chunks.get()
+        finally:
+            self._idle = False
--- a/src/amaranthferry/gateway/listener.py
+++ b/src/amaranthferry/gateway/listener.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, Protocol
 
 import uvicorn
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
@@ -17,9 +17,25 @@
 #: Time for writing the last answers.
 CLOSE_TIMEOUT: Seconds = 0.2
 CLOSE_CHECK_PERIOD: Seconds = 0.01
+#: Key of a request's `FlowState` in its ASGI state.
+FLOW_STATE = "flow"
 Application = Callable[[Any, Any, Any], Awaitable[None]]
 
 
+class FlowState(Protocol):
+    """Tell whether writes to a connection have to wait for its peer to read."""
+
+    write_paused: bool
+
+
+class _Protocol(HttpToolsProtocol):
+    """Give each request the flow state of its connection."""
+
+    def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
+        super().connection_made(transport)
+        self.app_state[FLOW_STATE] = self.flow
+
+
 class Listener:
     """Serve one ASGI application on one address."""
 
@@ -55,9 +71,7 @@
         )
 
     def _protocol(self) -> HttpToolsProtocol:
-        return HttpToolsProtocol(
-            config=self._config, server_state=self._state, app_state={}
-        )
+        return _Protocol(config=self._config, server_state=self._state, app_state={})
 
     def close_idle(self) -> None:
         """Close idle connections now and the others after their current request.
--- a/src/amaranthferry/gateway/sse.py
+++ b/src/amaranthferry/gateway/sse.py
@@ -36,18 +36,21 @@
 
     def feed(self, chunk: bytes) -> bytes:
         """Process bytes and return those that may be relayed."""
-        data = self._buffer + chunk
+        data = self._buffer + chunk if self._buffer else chunk
         cut = _end_of_events(data)
-        self.has_event = _has_field(data[:cut])
-        self._record_last_id(data[:cut])
+        events = data[:cut]
+        self.has_event = _has_field(events)
+        self._record_last_id(events)
         self._buffer = data[cut:]
-        return data[:cut] if self._complete_only else chunk
+        return events if self._complete_only else chunk
 
     def finish(self) -> bytes:
         """Return the withheld bytes after the last event of a complete stream."""
         return self._buffer if self._complete_only else b""
 
     def _record_last_id(self, events: bytes) -> None:
+        if _ID not in events:
+            return
         for line in reversed(events.splitlines()):
             if line.startswith(_ID):
                 self.last_event_id = line[len(_ID) :].strip().decode("latin-1")
--- a/src/amaranthferry/http_connection.py
+++ b/src/amaranthferry/http_connection.py
@@ -3,7 +3,7 @@
 import asyncio
 import socket
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from enum import StrEnum
 from typing import Self
 
@@ -24,6 +24,10 @@
 UNACKNOWLEDGED_TIMEOUT: Seconds = 3.0
 
 
+#: Takes received bytes at once, or returns False to have them buffered.
+Sink = Callable[[bytes], bool]
+
+
 class BrokenAnswer(Exception):  # noqa: N818
     """Report that an answer is truncated or is not valid HTTP; internal."""
 
@@ -89,6 +93,8 @@
         self._framed = False
         self._bodiless = False
         self._error: Exception | None = None
+        self._sink: Sink | None = None
+        self._sink_error: BrokenAnswer | None = None
         self._keep_alive = False
         #: Whether the peer has closed the connection in order, not by a reset.
         self.closed_by_peer = False
@@ -154,7 +160,37 @@
         overhead = self._received - self._body_bytes
         if overhead > MAX_OVERHEAD_BYTES + MAX_OVERHEAD_RATIO * self._body_bytes:
             self._fail("The answer's head, chunk framing or trailers are too long.")
-        self._wake()
+        if not self._pass_on() or self._complete or self._error is not None:
+            self._wake()
+
+    def relay_to(self, sink: Sink) -> None:
+        """Offer received chunks to a sink while `chunk` waits for them.
+
+        An error that the sink raises is raised by `chunk`.
+        """
+        self._sink = sink
+
+    def _pass_on(self) -> bool:
+        """Pass the buffered chunks to the sink; return whether it has taken them."""
+        is_awaited = self._waiter is not None and not self._waiter.done()
+        if self._sink is None or not self._chunks or not is_awaited:
+            return False
+        data = b"".join(self._chunks)
+        try:
+            if not self._sink(data):
+                return False
+        except BrokenAnswer as exc:
+            self._sink_error = exc
+            return False
+        self._chunks.clear()
+        self._release(len(data))
+        return True
+
+    def _release(self, size: int) -> None:
+        """Count bytes as no longer buffered."""
+        self._buffered -= size
+        if self._transport is not None and self._buffered < MAX_BUFFERED_BYTES:
+            self._transport.resume_reading()
 
     def _fail(self, problem: str) -> None:
         self._error = self._error or BrokenAnswer(problem)
@@ -173,6 +209,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._start, self._complete, self._framed = None, False, False
         self._headers, self._keep_alive = [], False
+        self._sink = self._sink_error = None
         self._bodiless = method == "HEAD"
         self._chunks.clear()
         self._buffered = self._received = self._body_bytes = 0
@@ -191,14 +228,14 @@
 
     async def chunk(self) -> bytes:
         """Return the next chunk of the body, or no bytes at its end."""
-        while not self._chunks:
+        while self._sink_error is None and not self._chunks:
             if self._complete:
                 return b""
             await self._wait()
+        if self._sink_error is not None:
+            raise self._sink_error
         chunk = self._chunks.popleft()
-        self._buffered -= len(chunk)
-        if self._transport is not None and self._buffered < MAX_BUFFERED_BYTES:
-            self._transport.resume_reading()
+        self._release(len(chunk))
         return chunk
 
     async def body(self) -> bytes:
--- /dev/null
+++ b/tests/gateway/test_exchange.py
@@ -0,0 +1,71 @@
+"""Test the path of a stream's chunks from a server to its caller."""
+
+import asyncio
+
+from amaranthferry.gateway.exchange import RoutedExchange
+
+from .fleet import fleet
+
+#: Longer than the time without progress after which a stream is resumed elsewhere.
+STREAM_TIME = 2.2
+EVENTS = 11
+
+
+class FakeWriter:
+    """Collect what is written."""
+
+    def __init__(self):
+        self.is_writable = True
+        self.written = []
+
+    def write(self, chunk):
+        self.written.append(chunk)
+
+
+async def consume(exchange, writer):
+    async for chunk in exchange.body():
+        await asyncio.sleep(0)
+        writer.write(chunk)
+
+
+async def test_chunks_skip_the_queue_only_while_it_is_empty():
+    exchange, writer = RoutedExchange(call=None), FakeWriter()
+    assert exchange.writer is None
+    exchange.attach(writer)
+    consumer = asyncio.ensure_future(consume(exchange, writer))
+    await asyncio.sleep(0)
+    exchange.writer.write(b"a")
+    await exchange.feed(b"b")
+    while b"b" not in writer.written:
+        assert exchange.writer is None
+        await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    exchange.writer.write(b"c")
+    exchange.finish()
+    assert exchange.writer is None
+    await consumer
+    assert writer.written == [b"a", b"b", b"c"]
+
+
+async def test_chunks_for_a_slow_caller_are_queued():
+    exchange, writer = RoutedExchange(call=None), FakeWriter()
+    exchange.attach(writer)
+    consumer = asyncio.ensure_future(consume(exchange, writer))
+    await asyncio.sleep(0)
+    assert exchange.writer is writer
+    writer.is_writable = False
+    assert exchange.writer is None
+    consumer.cancel()
+    await asyncio.gather(consumer, return_exceptions=True)
+    writer.is_writable = True
+    assert exchange.writer is None
+
+
+async def test_relayed_events_keep_a_stream_at_its_server():
+    async with fleet(engines=2) as (running, caller):
+        for server in running.servers.values():
+            server.event_count = EVENTS
+            server.event_interval = STREAM_TIME / EVENTS
+        attempt, status, _, body = await caller.send_prompt(deadline=3.0)
+        assert (status, body.count(b"\n\n")) == (200, EVENTS)
+        assert len(running.servers_that_ran(attempt)) == 1
