Send no adverts for pools that each host decides for itself

Cause: the first plain request makes a host the coordinator of its own share of the pool, with all hosts as the ones that it coordinates. From then on it sends up to 64 of them an advert of its waits each second, over a connection to each, and every advert is answered by a heartbeat. So all hosts together send hosts x min(64, hosts - 1) adverts a second, 8,768 at 137. Nobody needs them: each host decides for itself, and what arrives overwrites its own wait.

Change: a coordinator of such a pool sends none.

The test failed before.

--- a/src/amaranthferry/coordinator.py
+++ b/src/amaranthferry/coordinator.py
@@ -353,8 +353,13 @@
         return [SendToHost(host=host, message=message) for host in due]
 
     def adverts(self, now: Seconds) -> list[Effect]:
-        """Return the adverts that are due, to a bounded number of hosts in rotation."""
-        if now < self._next_advert_at or not self.hosts or not self.has_role:
+        """Return the adverts that are due, to a bounded number of hosts in rotation.
+
+        A pool that each host decides for itself has no waits in common.
+        """
+        if self._rules.decided_locally or not self.has_role:
+            return []
+        if now < self._next_advert_at or not self.hosts:
             return []
         self._next_advert_at = now + ADVERT_INTERVAL
         hosts = sorted(self.hosts)
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -1,5 +1,7 @@
+import msgspec
 import pytest
 
+from amaranthferry.config import PoolRules
 from amaranthferry.effects import ReportBackoff
 from amaranthferry.events import MembersChanged, SettingsApplied
 from amaranthferry.messages import (
@@ -219,6 +221,15 @@
     assert list(session.granted()) == ["bulk0", "bulk1", "urgent"]
 
 
+def test_coordinator_of_a_pool_decided_locally_sends_no_adverts():
+    hosts = tuple(f"h{index:03}" for index in range(137))
+    session = Session(server("e1"), hosts=hosts, register=False)
+    rules = {"models": PoolRules(decided_locally=True)}
+    changed = msgspec.structs.replace(session.deployment, rules=rules)
+    session.apply(SettingsApplied(now=0.0, deployment=changed))
+    assert [session.tick(0.1) for _ in range(30)] == [[]] * 30
+
+
 def test_adverts_go_to_a_bounded_number_of_hosts_per_second():
     hosts = tuple(f"h{index:03}" for index in range(370))
     session = Session(server("e1"), hosts=hosts, register=False)
