--- a/src/amaranthferry/control_overload.py
+++ b/src/amaranthferry/control_overload.py
@@ -368,6 +368,7 @@
             deployment=self._deployment(),
             hosts=names,
             now=self.now,
+            capacities=self.capacities,
             coordinator_timeout=COORDINATOR_TIMEOUT,
         )
 
