Bench what each kind of work earns, with targets by kind, size and workspace

The workload `routed` plays three kinds by objective; refused callers return once. Each row gets what every kind got in time, late and earned, how its largest tenth was served, and how each workspace was. Four targets take their bounds from the users' rules on prices, sizes and starvation. The figures of the other workloads' rows don't change: their draws are the same, and the new targets apply to this workload only.

--- a/src/amaranthferry/arrivals.py
+++ b/src/amaranthferry/arrivals.py
@@ -31,6 +31,8 @@
 
     `share` is this kind's share of the workload's cost, not of its requests.
     `deadline_factor` sets an absolute deadline as a multiple of the trace's duration.
+    Work with an objective earns most if its first token is within it, and its callers
+    may come back after a refusal; their requests belong to one of `workspace_count`.
     """
 
     workspace: WorkspaceId
@@ -48,6 +50,17 @@
     burst_size: int = 1
     prefix_count: int = 0
     prefix_tokens: Tokens = 0
+    objective: Seconds = 0.0
+    worth: float = 1.0
+    retries: int = 0
+    workspace_count: int = 1
+
+    def workspaces(self) -> tuple[WorkspaceId, ...]:
+        """Return the workspaces that send this kind of work."""
+        if self.workspace_count == 1:
+            return (self.workspace,)
+        numbers = range(1, self.workspace_count + 1)
+        return tuple(WorkspaceId(f"{self.workspace}-{number}") for number in numbers)
 
 
 class Workload(msgspec.Struct, frozen=True):
@@ -56,6 +69,11 @@
     name: str
     kinds: tuple[WorkKind, ...]
 
+    @property
+    def by_objective(self) -> bool:
+        """Return whether the work is to be ordered by its objectives."""
+        return any(kind.objective for kind in self.kinds)
+
 
 class Arrival(msgspec.Struct, frozen=True, kw_only=True):
     """Describe one request, `at` seconds after the start of the trace."""
@@ -74,6 +92,9 @@
     bulk: bool = False
     prefix: str = ""
     prefix_tokens: Tokens = 0
+    objective: Seconds = 0.0
+    worth: float = 1.0
+    retries: int = 0
 
     @property
     def deadline(self) -> Seconds:
@@ -201,13 +222,15 @@
     output = max(1, round(_log_uniform(*kind.output, rng) * scale))
     expected = max(1, round(_log_uniform_mean(*kind.output) * scale))
     number = rng.randrange(kind.prefix_count) if kind.prefix_count else 0
+    workspaces = kind.workspaces()
+    workspace = rng.choice(workspaces) if len(workspaces) > 1 else kind.workspace
     timeout = kind.timeout
     if kind.deadline_factor:
         timeout = max(timeout, duration * kind.deadline_factor - at)
     return Arrival(
         at=at,
         request_id=request_id,
-        workspace=kind.workspace,
+        workspace=workspace,
         tier=kind.tier,
         tier_rank=kind.tier_rank,
         work_class=kind.work_class,
@@ -219,4 +242,7 @@
         bulk=kind.bulk,
         prefix=f"{kind.work_class}-{number}" if kind.prefix_count else "",
         prefix_tokens=min(prompt, round(kind.prefix_tokens * scale)),
+        objective=kind.objective,
+        worth=kind.worth,
+        retries=kind.retries,
     )
--- a/src/amaranthferry/bench.py
+++ b/src/amaranthferry/bench.py
@@ -25,9 +25,19 @@
 from .bench_oracle import oracle_count
 from .bench_policies import BASELINES
 from .bench_simulation import Dispatcher, Fault, Record, RequestStatus, Simulation
+from .bench_worth import KindResult, measure_kinds, measure_workspaces
 from .config import BackendServer
 from .exceptions import AmaranthferryError
-from .types import Seconds, ServerId, TierId, Tokens, WasteCause, ZoneId
+from .types import (
+    ClassId,
+    Seconds,
+    ServerId,
+    TierId,
+    Tokens,
+    WasteCause,
+    WorkspaceId,
+    ZoneId,
+)
 from .workloads import find_workload
 
 DURATION: Seconds = 240.0
@@ -41,7 +51,7 @@
 
     Goodput is the fraction of the requests sent that finished by their deadlines.
     `inversions` counts those of the most urgent tier, `standard_inversions` those of
-    the tier below it.
+    the tier below it. `kinds` and `workspaces_served` describe work with objectives.
     """
 
     workload: str
@@ -62,6 +72,8 @@
     bulk_admitted_late: int
     urgent_first_token_p50: Seconds
     urgent_first_token_p99: Seconds
+    kinds: dict[ClassId, KindResult] = {}
+    workspaces_served: dict[WorkspaceId, float] = {}
 
 
 def bench_servers() -> tuple[BackendServer, ...]:
@@ -177,6 +189,8 @@
         bulk_admitted_late=sum(1 for r in bulk if r.status is RequestStatus.LATE),
         urgent_first_token_p50=_quantile(first_token_times, 0.5),
         urgent_first_token_p99=_quantile(first_token_times, 0.99),
+        kinds=measure_kinds(all_records),
+        workspaces_served=measure_workspaces(all_records),
     )
 
 
--- a/src/amaranthferry/bench_coordinated.py
+++ b/src/amaranthferry/bench_coordinated.py
@@ -6,7 +6,15 @@
 
 from .arrivals import Workload
 from .bench_simulation import Record, Report, Simulation
-from .config import BackendServer, Deployment, Pool, Tier, WorkClass, Workspace
+from .config import (
+    BackendServer,
+    Deployment,
+    Pool,
+    PoolRules,
+    Tier,
+    WorkClass,
+    Workspace,
+)
 from .coordinator import Coordinator
 from .coordinator_reducer import reduce
 from .effects import Effect, SendToHost
@@ -23,6 +31,7 @@
     Registration,
 )
 from .policy import Policy
+from .requests import MAX_WAIT_FRACTION
 from .types import (
     HostId,
     PoolId,
@@ -41,6 +50,10 @@
 PROGRESS_INTERVAL: Seconds = 1.0
 RETRY_DELAY: Seconds = 0.2
 MAX_CONNECTION_RETRIES = 3
+#: Time that a caller waits for a first token, as a multiple of the objective.
+PATIENCE_OBJECTIVES = 4.0
+#: Largest retry-after that a caller honors, as a fraction of its time left.
+HONORED_RETRY_FRACTION = 1 / 3
 CACHE_EVENT_LAG: Seconds = 2.0
 CACHE_EVENT_LOSS_PROBABILITY = 0.2
 OURS = "ours"
@@ -74,13 +87,15 @@
             for kind in workload.kinds
         },
         workspaces={
-            kind.workspace: Workspace(
-                kind.workspace, kind.tier, (kind.work_class,), kind.work_class
+            workspace: Workspace(
+                workspace, kind.tier, (kind.work_class,), kind.work_class
             )
             for kind in workload.kinds
+            for workspace in kind.workspaces()
         },
         pools={POOL: Pool(POOL)},
         servers={server.name: server for server in servers},
+        rules={POOL: PoolRules(by_objective=True)} if workload.by_objective else {},
     )
 
 
@@ -92,6 +107,7 @@
             deployment, SHARD, now=0.0, hosts=(HOST,), policy=policy
         )
         self._rng = random.Random(f"{seed}/cache-events")
+        self._attempts: dict[RequestId, Record] = {}
         self._simulation: Simulation
 
     def start(self, simulation: Simulation) -> None:
@@ -103,10 +119,14 @@
         simulation.repeat(PROGRESS_INTERVAL, self._forward_cache_events)
 
     def submit(self, record: Record, now: Seconds) -> None:
-        """Request a permit."""
+        """Request a permit, as a host that can't tell a caller's attempts apart."""
         arrival = record.arrival
+        patience = arrival.deadline - now
+        if arrival.objective:
+            patience = min(patience, PATIENCE_OBJECTIVES * arrival.objective)
+        self._attempts[record.attempt_id] = record
         request = PermitRequest(
-            request_id=arrival.request_id,
+            request_id=record.attempt_id,
             shard=SHARD,
             workspace=arrival.workspace,
             tier_rank=arrival.tier_rank,
@@ -116,12 +136,14 @@
             output_tokens=arrival.expected_output_tokens,
             prefixes=record.hashes,
             bulk=arrival.bulk,
+            objective=arrival.objective,
+            max_wait=patience * MAX_WAIT_FRACTION,
         )
         self._send(request, now)
 
     def withdraw(self, record: Record, now: Seconds) -> None:
         """Withdraw a waiting permit request."""
-        self._send(PermitWithdraw(record.arrival.request_id, SHARD), now)
+        self._send(PermitWithdraw(record.attempt_id, SHARD), now)
 
     def admitted(self, record: Record, now: Seconds) -> None:
         """Do nothing: a request is admitted when its permit is granted."""
@@ -136,7 +158,7 @@
         assert job is not None and record.server is not None
         first_token_at = job.first_token or job.dispatched
         release = PermitRelease(
-            request_id=record.arrival.request_id,
+            request_id=record.attempt_id,
             shard=SHARD,
             server=record.server,
             dispatched=True,
@@ -181,9 +203,9 @@
             return
         match effect.message:
             case PermitGrant(request_id=request_id, server=server):
-                self._handle_grant(self._simulation.records[request_id], server, now)
-            case PermitRefusal(request_id=request_id):
-                self._handle_refusal(request_id, now)
+                self._handle_grant(self._attempts[request_id], server, now)
+            case PermitRefusal() as refusal:
+                self._handle_refusal(refusal, now)
 
     def _handle_grant(self, record: Record, server: ServerId, now: Seconds) -> None:
         if record.dropped is not None:
@@ -192,7 +214,7 @@
             record.admitted = now
             return
         release = PermitRelease(
-            record.arrival.request_id, SHARD, server, dispatched=False, failed=True
+            record.attempt_id, SHARD, server, dispatched=False, failed=True
         )
         self._send(release, now)
         if record.tries > MAX_CONNECTION_RETRIES:
@@ -204,10 +226,18 @@
         if record.dropped is None:
             self.submit(record, now)
 
-    def _handle_refusal(self, request_id: RequestId, now: Seconds) -> None:
-        record = self._simulation.records[request_id]
-        if record.dropped is None and record.job is None:
+    def _handle_refusal(self, refusal: PermitRefusal, now: Seconds) -> None:
+        """Let the caller come back as long as it does, or end the request."""
+        record = self._attempts[refusal.request_id]
+        if record.dropped is not None or record.job is not None:
+            return
+        if record.refusals >= record.arrival.retries:
             self._simulation.shed(record, now)
+            return
+        record.refusals += 1
+        left = record.arrival.deadline - now
+        wait = min(refusal.retry_after, left * HONORED_RETRY_FRACTION)
+        self._simulation.schedule(now + wait, lambda at: self._retry(record, at))
 
     def _report_progress(self, now: Seconds) -> None:
         for engine in self._simulation.engines.values():
@@ -224,7 +254,7 @@
             0.0 if job.first_token is None else job.first_token - job.dispatched
         )
         progress = PermitProgress(
-            request_id=record.arrival.request_id,
+            request_id=record.attempt_id,
             shard=SHARD,
             server=record.server,
             first_token=time_to_first_token,
--- a/src/amaranthferry/bench_report.py
+++ b/src/amaranthferry/bench_report.py
@@ -9,6 +9,8 @@
 
 from .bench import Row
 from .bench_targets import evaluate_targets, wasted_fraction
+from .bench_worth import KindResult
+from .types import ClassId
 from .workloads import OVERNIGHT, STANDARD, URGENT
 
 TABLE_WIDTH = 150
@@ -29,6 +31,17 @@
     "urgent first token p99",
 )
 TIERS = (URGENT, STANDARD, OVERNIGHT)
+KIND_COLUMNS = (
+    "workload",
+    "load",
+    "policy",
+    "kind",
+    "sent",
+    "in time",
+    "late",
+    "earned",
+    "largest tenth served",
+)
 TARGET_COLUMNS = ("target", "bound", "case", "median", "worst (seed)", "met")
 SUMMARY_COLUMNS = (
     "workload",
@@ -98,6 +111,35 @@
     return _markdown(SUMMARY_COLUMNS, lines)
 
 
+def format_kinds(rows: Iterable[Row]) -> str:
+    """Return a Markdown table of what each kind with an objective gets and earns.
+
+    Values are medians over the seeds, with the worst seed for what is earned.
+    """
+    groups: dict[tuple[str, float, str, ClassId], list[KindResult]] = {}
+    for row in rows:
+        for kind, result in row.kinds.items():
+            key = (row.workload, row.load, row.policy, kind)
+            groups.setdefault(key, []).append(result)
+    lines = [
+        (
+            workload,
+            f"{load:g}",
+            policy,
+            kind,
+            f"{median(result.sent for result in results):g}",
+            f"{median(result.in_time for result in results):.3f}",
+            f"{median(result.late for result in results):.3f}",
+            _median_and_worst(
+                earned := [result.earned for result in results], worst=min(earned)
+            ),
+            f"{median(result.large_served for result in results):.3f}",
+        )
+        for (workload, load, policy, kind), results in groups.items()
+    ]
+    return _markdown(KIND_COLUMNS, lines) if lines else ""
+
+
 def _summarize(group: list[Row]) -> tuple[str, ...]:
     first = group[0]
     tiers = [[row.goodput.get(tier, 0.0) for row in group] for tier in TIERS]
--- a/src/amaranthferry/bench_simulation.py
+++ b/src/amaranthferry/bench_simulation.py
@@ -10,7 +10,7 @@
 from .arrivals import Arrival
 from .bench_engine import FakeEngine, Job
 from .config import BackendServer
-from .types import Seconds, ServerId, Tokens
+from .types import RequestId, Seconds, ServerId, Tokens
 
 REPORT_INTERVAL: Seconds = 1.0
 REPORT_LAG: Seconds = 1.0
@@ -43,7 +43,8 @@
     """Track one request through a simulation.
 
     `admitted` is the time at which the shard admitted the request, and `dropped` the
-    time at which it ended without admission.
+    time at which it ended without admission. Each attempt of the caller after a refusal
+    has an id of its own.
     """
 
     arrival: Arrival
@@ -54,6 +55,15 @@
     admitted: Seconds | None = None
     dropped: Seconds | None = None
     tries: int = 0
+    refusals: int = 0
+
+    @property
+    def attempt_id(self) -> RequestId:
+        """Return the id of the caller's current attempt."""
+        request_id = self.arrival.request_id
+        return (
+            RequestId(f"{request_id}/{self.refusals}") if self.refusals else request_id
+        )
 
 
 class Report(msgspec.Struct, frozen=True):
--- a/src/amaranthferry/bench_targets.py
+++ b/src/amaranthferry/bench_targets.py
@@ -1,6 +1,7 @@
 """Define the targets of the decision bench and evaluate results against them."""
 
 from collections.abc import Callable, Iterable, Iterator
+from itertools import combinations
 from statistics import median
 from typing import NamedTuple
 
@@ -19,6 +20,10 @@
 WASTE_OVER_BASELINES = "wasted part over the best baseline's"
 OVERNIGHT_GOODPUT = "overnight goodput where capacity allows"
 STRAGGLER_RATIO = "urgent first-token p99 with a straggler over without"
+EARNED_EXCESS = "earned by a kind beyond a more urgent one (share)"
+KIND_SERVED = "least served kind over all"
+LARGEST_SERVED = "largest tenth served over its kind"
+WORKSPACE_SERVED = "least served workspace over all"
 MAX_INVERSIONS = 0.0
 MIN_URGENT_GOODPUT_RATIO = 0.99
 MIN_ORACLE_FRACTION = 0.9
@@ -26,6 +31,10 @@
 MAX_WASTE_OVER_BASELINES = 0.25
 MIN_OVERNIGHT_GOODPUT = 1.0
 MAX_STRAGGLER_RATIO = 1.5
+MAX_EARNED_EXCESS = 0.15
+MIN_KIND_SERVED = 0.25
+MIN_LARGEST_SERVED = 0.5
+MIN_WORKSPACE_SERVED = 0.25
 LOW_LOAD = 0.5
 HIGH_LOAD = 3.0
 OVERLOADS = (1.5, 3.0)
@@ -84,9 +93,15 @@
         }
 
     def ours(self, fault: Fault | None = Fault.NONE) -> Iterator[Row]:
-        """Yield the rows of the full policy, for one fault or for any."""
+        """Yield the rows of the full policy by deadline, for one fault or for any."""
         for row in self._rows.values():
-            if row.policy == OURS and fault in (None, row.fault):
+            if row.policy == OURS and fault in (None, row.fault) and not row.kinds:
+                yield row
+
+    def ours_by_objective(self) -> Iterator[Row]:
+        """Yield the rows of the full policy for work with objectives."""
+        for row in self._rows.values():
+            if row.policy == OURS and row.kinds:
                 yield row
 
     def counterpart(
@@ -166,6 +181,41 @@
             yield _sample(row, ratio)
 
 
+def _earned_excess(rows: Rows) -> Iterator[Sample]:
+    for row in rows.ours_by_objective():
+        yield _sample(row, earned_excess(row))
+
+
+def earned_excess(row: Row) -> float:
+    """Return the most by which a kind earns a larger share than a more urgent one."""
+    pairs = combinations(sorted(row.kinds.values(), key=lambda kind: kind.level), 2)
+    return max(lower.earned - higher.earned for higher, lower in pairs)
+
+
+def _kind_served(rows: Rows) -> Iterator[Sample]:
+    for row in rows.ours_by_objective():
+        least = min(kind.served for kind in row.kinds.values())
+        yield _sample(row, least / max(served_share(row), 1e-9))
+
+
+def _largest_served(rows: Rows) -> Iterator[Sample]:
+    for row in rows.ours_by_objective():
+        kinds = row.kinds.values()
+        yield _sample(row, min(k.large_served / max(k.served, 1e-9) for k in kinds))
+
+
+def _workspace_served(rows: Rows) -> Iterator[Sample]:
+    for row in rows.ours_by_objective():
+        least = min(row.workspaces_served.values())
+        yield _sample(row, least / max(served_share(row), 1e-9))
+
+
+def served_share(row: Row) -> float:
+    """Return the fraction served of all requests that have an objective."""
+    kinds = row.kinds.values()
+    return sum(k.served * k.sent for k in kinds) / sum(k.sent for k in kinds)
+
+
 TARGETS = (
     Target(
         name=INVERSIONS,
@@ -209,6 +259,30 @@
         at_least=False,
         samples=_straggler_ratio,
     ),
+    Target(
+        name=EARNED_EXCESS,
+        bound=MAX_EARNED_EXCESS,
+        at_least=False,
+        samples=_earned_excess,
+    ),
+    Target(
+        name=KIND_SERVED,
+        bound=MIN_KIND_SERVED,
+        at_least=True,
+        samples=_kind_served,
+    ),
+    Target(
+        name=LARGEST_SERVED,
+        bound=MIN_LARGEST_SERVED,
+        at_least=True,
+        samples=_largest_served,
+    ),
+    Target(
+        name=WORKSPACE_SERVED,
+        bound=MIN_WORKSPACE_SERVED,
+        at_least=True,
+        samples=_workspace_served,
+    ),
 )
 
 
--- a/src/amaranthferry/cli_bench.py
+++ b/src/amaranthferry/cli_bench.py
@@ -10,7 +10,7 @@
 
 from .bench import LOADS, Row, all_policies, run_row
 from .bench_cost import measure_cost
-from .bench_report import format_rows, format_summary, format_targets
+from .bench_report import format_kinds, format_rows, format_summary, format_targets
 from .bench_simulation import Fault
 from .exceptions import AmaranthferryError
 from .workloads import WORKLOADS
@@ -72,6 +72,8 @@
     typer.echo(format_targets(rows))
     typer.echo("")
     typer.echo(format_summary(rows))
+    if kinds := format_kinds(rows):
+        typer.echo(f"\n{kinds}")
 
 
 @app.command()
--- a/src/amaranthferry/workloads.py
+++ b/src/amaranthferry/workloads.py
@@ -1,10 +1,11 @@
-"""Define the workloads of the two users, Kyklos and Dalmavest."""
+"""Define the workloads of the two users, Kyklos and Dalmavest, and of routed requests."""
 
 from .arrivals import Shape, WorkKind, Workload
 from .exceptions import AmaranthferryError
 from .types import ClassId, TierId, WorkspaceId
 
 URGENT, STANDARD, OVERNIGHT = map(TierId, ("urgent", "standard", "overnight"))
+BACKGROUND = TierId("background")
 
 KYKLOS = Workload(
     "kyklos",
@@ -131,7 +132,65 @@
     ),
 )
 
-WORKLOADS = {workload.name: workload for workload in (KYKLOS, DALMAVEST)}
+#: Routed requests with objectives, from many workspaces, whose callers return once.
+ROUTED = Workload(
+    "routed",
+    (
+        WorkKind(
+            workspace=WorkspaceId("reviewers"),
+            tier=URGENT,
+            tier_rank=0,
+            work_class=ClassId("review"),
+            class_rank=0,
+            share=0.50,
+            prompt=(400, 8_000),
+            output=(30, 300),
+            timeout=15.0,
+            prefix_count=40,
+            prefix_tokens=128,
+            objective=1.0,
+            worth=6.6,
+            retries=1,
+            workspace_count=5,
+        ),
+        WorkKind(
+            workspace=WorkspaceId("growers"),
+            tier=STANDARD,
+            tier_rank=1,
+            work_class=ClassId("answer"),
+            class_rank=0,
+            share=0.37,
+            prompt=(100, 1_500),
+            output=(30, 300),
+            timeout=15.0,
+            prefix_count=40,
+            prefix_tokens=128,
+            objective=0.5,
+            worth=1.7,
+            retries=1,
+            workspace_count=5,
+        ),
+        WorkKind(
+            workspace=WorkspaceId("deliveries"),
+            tier=BACKGROUND,
+            tier_rank=2,
+            work_class=ClassId("tag"),
+            class_rank=0,
+            share=0.13,
+            prompt=(200, 3_000),
+            output=(5, 60),
+            timeout=3.0,
+            prefix_count=40,
+            prefix_tokens=128,
+            objective=0.6,
+            worth=0.34,
+            retries=1,
+            workspace_count=5,
+        ),
+    ),
+)
+
+WORKLOADS = {workload.name: workload for workload in (KYKLOS, DALMAVEST, ROUTED)}
 
 
 def find_workload(name: str) -> Workload:
--- a/tests/test_bench_goals.py
+++ b/tests/test_bench_goals.py
@@ -14,23 +14,29 @@
 from amaranthferry.bench_policies import BASELINES
 from amaranthferry.bench_simulation import Fault
 from amaranthferry.bench_targets import (
+    EARNED_EXCESS,
     INVERSIONS,
+    KIND_SERVED,
+    LARGEST_SERVED,
     ORACLE_FRACTION,
     OVERNIGHT_GOODPUT,
     STRAGGLER_RATIO,
     URGENT_GOODPUT_RATIO,
     WASTE_OVER_BASELINES,
     WASTED_FRACTION,
+    WORKSPACE_SERVED,
     evaluate_targets,
 )
 
 SEED = 101
 run_cached = lru_cache(run_row)
 LOW = [(0.5, "ours", Fault.NONE)]
+OVERLOAD = [(1.5, "ours", Fault.NONE)]
 HIGH = [(3.0, "ours", Fault.NONE)]
 STRAGGLER = [(0.5, "ours", Fault.STRAGGLER)]
 LOST = [(0.5, "ours", Fault.ENGINE_LOST)]
 OTHERS = [(0.5, name, Fault.NONE) for name in BASELINES]
+SERVED = [KIND_SERVED, WORKSPACE_SERVED]
 OVERLOADED = [INVERSIONS, URGENT_GOODPUT_RATIO, ORACLE_FRACTION, OVERNIGHT_GOODPUT]
 CASES = [
     ("kyklos-inversions", "kyklos", [INVERSIONS, OVERNIGHT_GOODPUT], LOW),
@@ -43,6 +49,12 @@
     ("dalmavest-waste", "dalmavest", [WASTED_FRACTION], LOW),
     ("dalmavest-waste-baselines", "dalmavest", [WASTE_OVER_BASELINES], LOW + OTHERS),
     ("dalmavest-straggler", "dalmavest", [STRAGGLER_RATIO], LOW + STRAGGLER),
+    ("routed-earned", "routed", [EARNED_EXCESS], OVERLOAD),
+    ("routed-earned-high", "routed", [EARNED_EXCESS], HIGH),
+    ("routed-served", "routed", SERVED, OVERLOAD),
+    ("routed-served-high", "routed", SERVED, HIGH),
+    ("routed-largest", "routed", [LARGEST_SERVED], OVERLOAD),
+    ("routed-largest-high", "routed", [LARGEST_SERVED], HIGH),
 ]
 KNOWN_RED = {
     "kyklos-straggler",
@@ -50,6 +62,10 @@
     "dalmavest-waste",
     "dalmavest-waste-baselines",
     "dalmavest-straggler",
+    "routed-earned",
+    "routed-earned-high",
+    "routed-served-high",
+    "routed-largest-high",
 }
 
 
--- a/tests/test_bench_targets.py
+++ b/tests/test_bench_targets.py
@@ -2,9 +2,10 @@
 import pytest
 
 from amaranthferry.bench import Row
-from amaranthferry.bench_report import format_summary, format_targets
+from amaranthferry.bench_report import format_kinds, format_summary, format_targets
 from amaranthferry.bench_simulation import Fault
 from amaranthferry.bench_targets import evaluate_targets
+from amaranthferry.bench_worth import KindResult
 
 HEALTHY = Row(
     workload="kyklos",
@@ -32,11 +33,42 @@
     return msgspec.structs.replace(HEALTHY, **changes)
 
 
+def kind(level, earned, *, served=0.8, large=0.8):
+    return KindResult(
+        level=(level, 0),
+        sent=100,
+        in_time=served,
+        late=0.0,
+        earned=earned,
+        large_served=large,
+    )
+
+
+def kinds_with(**changes):
+    kinds = {"review": kind(0, 0.7), "answer": kind(1, 0.7), "tag": kind(2, 0.8)}
+    return kinds | changes
+
+
+BY_OBJECTIVE = row_with(
+    workload="routed",
+    kinds=kinds_with(),
+    workspaces_served={"growers-1": 0.9, "growers-2": 0.7},
+)
 BASELINES = [
     row_with(policy=name, wasted_prefill_tokens={"late": 100})
     for name in ("round-robin", "least-requests", "least-tokens")
 ]
-GOOD = [HEALTHY, row_with(load=0.5), row_with(fault=Fault.STRAGGLER), *BASELINES]
+GOOD = [
+    HEALTHY,
+    row_with(load=0.5),
+    row_with(fault=Fault.STRAGGLER),
+    *BASELINES,
+    BY_OBJECTIVE,
+]
+
+
+def by_objective(**changes):
+    return msgspec.structs.replace(BY_OBJECTIVE, **changes)
 
 
 def missed(rows):
@@ -45,7 +77,7 @@
 
 def test_rows_within_every_bound_miss_no_target():
     found = evaluate_targets(GOOD)
-    assert len({result.target for result in found}) == 7
+    assert len({result.target for result in found}) == 11
     assert missed(GOOD) == set()
 
 
@@ -78,6 +110,22 @@
             row_with(fault=Fault.STRAGGLER, urgent_first_token_p99=1.6),
             "urgent first-token p99 with a straggler over without",
         ),
+        (
+            by_objective(kinds=kinds_with(tag=kind(2, 0.86))),
+            "earned by a kind beyond a more urgent one (share)",
+        ),
+        (
+            by_objective(kinds=kinds_with(answer=kind(1, 0.1, served=0.1, large=0.1))),
+            "least served kind over all",
+        ),
+        (
+            by_objective(kinds=kinds_with(review=kind(0, 0.7, large=0.39))),
+            "largest tenth served over its kind",
+        ),
+        (
+            by_objective(workspaces_served={"growers-1": 0.9, "growers-2": 0.19}),
+            "least served workspace over all",
+        ),
     ],
 )
 def test_a_row_beyond_a_bound_misses_the_target(row, target):
@@ -95,3 +143,4 @@
 def test_reports_show_bounds_medians_and_worst_seeds():
     assert "| 0.950 | 0.950 (1) | yes |" in format_targets(GOOD)
     assert "| 0.950 / 0.950 |" in format_summary(GOOD)
+    assert "| tag | 100 | 0.800 | 0.000 | 0.800 / 0.800 | 0.800 |" in format_kinds(GOOD)
