Don't starve servers that are all slow at once

Cause: a server whose recent work takes four times as long as usual counts as a straggler and gets one request in 2 s until enough of its work was fast again. That is meant for one slow server. If too much work, or hosts that measure late, slow all servers down, all of them get one request in 2 s. At that pace it takes some 25 requests each, or 50 s, to end (from the averages' windows, calculated).

Change: while more than half of a shard's servers look slow (and two at least), none gets less work for it. Their predicted times still count.

--- a/src/amaranthferry/coordinator.py
+++ b/src/amaranthferry/coordinator.py
@@ -3,6 +3,8 @@
 from collections.abc import Collection, Iterable, Mapping
 from typing import Self
 
+import msgspec
+
 from .config import (
     DEFAULT_RULES,
     BackendServer,
@@ -40,6 +42,8 @@
 REBUILD_SHARE = 0.25
 #: Time for which a suspected prompt part runs once at a time.
 MAX_ALONE_TIME: Seconds = 1.5
+#: Fraction of the servers up to which slow ones get less work.
+MAX_STRAGGLING_FRACTION = 0.5
 ADVERT_INTERVAL: Seconds = 1.0
 #: Queue notices to all hosts together, so that they don't slow down the decisions.
 MAX_NOTICES_PER_SECOND = 600
@@ -267,12 +271,22 @@
         return Chooser(records, now, self._placement_limits(now), self.lengths)
 
     def _placement_limits(self, now: Seconds) -> PlacementLimits:
+        straggler = self.policy.straggler and not self._is_slow_as_a_whole()
         return PlacementLimits(
             share=REBUILD_SHARE if self.is_rebuilding(now) else 1.0,
             bulk_share=self.pool.bulk_share if self.policy.bulk_share else 1.0,
-            policy=self.policy,
+            policy=msgspec.structs.replace(self.policy, straggler=straggler),
         )
 
+    def _is_slow_as_a_whole(self) -> bool:
+        """Return whether most servers are slow, which then isn't due to each of them.
+
+        Hosts that are late measure it of all servers, and so does too much work.
+        """
+        records = [record for record in self.servers.values() if record.accepts_work]
+        slow = sum(record.straggler.straggling for record in records)
+        return slow > max(1.0, MAX_STRAGGLING_FRACTION * len(records))
+
     def prompt_of(self, request: PermitRequest) -> Prompt:
         """Return the parts of a request's prompt that others may share."""
         parts = shared_parts(request.prefixes, request.prefix_lengths)
--- a/src/amaranthferry/objectives.py
+++ b/src/amaranthferry/objectives.py
@@ -296,14 +296,18 @@
 
     def _free_slots(self, record: ServerRecord) -> int:
         now = self._now
-        if now < record.blocked_until or not record.straggler.may_probe(now):
+        restricted = self._limits.policy.straggler
+        if now < record.blocked_until:
+            return 0
+        if restricted and not record.straggler.may_probe(now):
             return 0
         if record.prefill_starts(now) > now + MAX_PREFILL_BACKLOG:
             return 0
         running = len(record.permits)
         if running >= record.slots:
             return 0
-        slots = record.slots * record.straggler.share * self._limits.share
+        share = record.straggler.share if restricted else 1.0
+        slots = record.slots * share * self._limits.share
         return max(0, ceil(max(1.0, slots) - running))
 
     def choose(
