Let hosts repeat a request where there are many of them

What callers saw: on the grown and large sites no request was ever sent to a second server. One that an engine rejected was refused, and a stream that broke wasn't resumed, although the common budget allows 338 repeats in 10 s beyond a fifth of the requests.

Cause: the burst of the budget is divided by the number of hosts, and a host spends whole repeats. 0.4 x 338 / 137 is 0.99, so no host ever had one, whatever the refill and the requests added. The same holds for 195 hosts and 430 extra repeats.

Change: a host's burst is at least one, as long as the bursts of all hosts and 0.4 of the extra repeats as refill stay within the extra ones (up to 202 hosts at 338). Above that nothing changes.

--- a/src/amaranthferry/gateway/application.py
+++ b/src/amaranthferry/gateway/application.py
@@ -24,7 +24,7 @@
 from ..messages import Message, StoreUpdate, StoreUpdateRequest
 from ..peers import PeerNetwork
 from ..platform.desired import CONFIG_KIND, SERVER_KIND
-from ..platform.settings import HostSettings
+from ..platform.settings import Bounds, HostSettings
 from ..platform.store import StoreClient
 from ..running import can_rerun
 from ..shards import capable_hosts
@@ -82,6 +82,26 @@
     return min(settings.processor, settings.link_mbps / LINK_MBPS_PER_CORE)
 
 
+def budget_limits_of(bounds: Bounds, hosts: int) -> BudgetLimits:
+    """Return the part of the common budgets that one of `hosts` hosts may use.
+
+    A host can't repeat a part of a request, so its burst is one at least, as long as
+    the bursts and the refills of all hosts stay within the extra repeats.
+    """
+    burst = bounds.retry_extra * BURST_FRACTION
+    if hosts <= bounds.retry_extra * (1.0 - REFILL_FRACTION):
+        burst = max(burst, float(hosts))
+    refill = bounds.retry_extra * REFILL_FRACTION
+    return BudgetLimits(
+        repeat_ratio=bounds.retry_ratio * RATIO_FRACTION,
+        repeat_burst=burst / hosts,
+        repeat_refill=refill / hosts / bounds.retry_window,
+        quota_window=bounds.quota_window,
+        quota_overage=bounds.quota_overage,
+        quota_slack=bounds.quota_slack,
+    )
+
+
 class Gateway(Shell):
     """Run an entry host for routed requests with all its components."""
 
@@ -428,17 +448,8 @@
         self._check_initialized()
 
     def _budget_limits(self) -> BudgetLimits:
-        bounds = self.settings.bounds
         hosts = max(len(self.state.hosts), len(self._joining.listed) + 1)
-        extra = bounds.retry_extra / hosts
-        return BudgetLimits(
-            repeat_ratio=bounds.retry_ratio * RATIO_FRACTION,
-            repeat_burst=extra * BURST_FRACTION,
-            repeat_refill=extra * REFILL_FRACTION / bounds.retry_window,
-            quota_window=bounds.quota_window,
-            quota_overage=bounds.quota_overage,
-            quota_slack=bounds.quota_slack,
-        )
+        return budget_limits_of(self.settings.bounds, hosts)
 
     async def _tick(self) -> None:
         while True:
