List the fields that rows of the decision bench and log lines have gained

test_fields_keep_their_encoded_names failed since the bench's rows had two more fields than it lists. Both come last and have defaults, so saved rows are still read; the list keeps the earlier names and now compares the new ones, and KindResult, too.

--- a/tests/test_wire_format.py
+++ b/tests/test_wire_format.py
@@ -10,6 +10,7 @@
 from amaranthferry import (
     audit,
     bench,
+    bench_worth,
     chunks,
     claim_record,
     codec,
@@ -171,7 +172,8 @@
     load.LoadResult: "plan tiers samples prefill_tokens wasted_prefill platform_calls peer_bytes",
     load.LoadPlan: "urls keys workload model rate duration seed length_scale name_classes",
     load.TierResult: "tier sent done late not_run unknown goodput first_token elapsed",
-    bench.Row: "workload load policy fault seed sent inversions standard_inversions goodput total_goodput oracle_goodput goodput_tokens prefill_tokens wasted_prefill_tokens bulk_admitted bulk_admitted_late urgent_first_token_p50 urgent_first_token_p99",
+    bench.Row: "workload load policy fault seed sent inversions standard_inversions goodput total_goodput oracle_goodput goodput_tokens prefill_tokens wasted_prefill_tokens bulk_admitted bulk_admitted_late urgent_first_token_p50 urgent_first_token_p99 kinds workspaces_served",
+    bench_worth.KindResult: "level sent in_time late earned large_served",
     metrics.MetricsReport: "counters quantiles",
     publish.ApplyResult: "version entry",
 }
