Don't count servers that are all slow as stragglers in the signals

What operators saw: shard.waiting would have named stragglers where slow servers get as much work as others, since most of a shard's servers are slow.

Change: the signals ask the coordinator whether it restricts stragglers.

Evidence: the new test fails without the change (all four servers counted as stragglers).

--- a/src/amaranthferry/availability.py
+++ b/src/amaranthferry/availability.py
@@ -24,19 +24,25 @@
 
 
 def availability_of(
-    record: ServerRecord, now: Seconds, *, share: float = 1.0
+    record: ServerRecord,
+    now: Seconds,
+    *,
+    share: float = 1.0,
+    restricts_stragglers: bool = True,
 ) -> Availability:
     """Return whether a server gets new work, filled up to a share of its slots."""
     if not record.accepts_work:
         return Availability.NOT_LIVE
     if now < record.blocked_until:
         return Availability.BACKED_OFF
-    if not record.straggler.may_probe(now):
+    if restricts_stragglers and not record.straggler.may_probe(now):
         return Availability.STRAGGLING
     if record.prefill_starts(now) > now + MAX_PREFILL_BACKLOG:
         overdue = record.prefill_free_at < now
         return Availability.PREFILL_OVERDUE if overdue else Availability.PREFILL_BACKLOG
-    slots = ceil(max(1.0, record.slots * record.straggler.share * share))
+    if restricts_stragglers:
+        share *= record.straggler.share
+    slots = ceil(max(1.0, record.slots * share))
     if min(record.slots, slots) <= len(record.permits):
         return Availability.FULL
     return Availability.FREE
@@ -47,7 +53,12 @@
     share = REBUILD_SHARE if coordinator.is_rebuilding(now) else 1.0
     return dict(
         Counter(
-            availability_of(record, now, share=share)
+            availability_of(
+                record,
+                now,
+                share=share,
+                restricts_stragglers=coordinator.restricts_stragglers,
+            )
             for record in coordinator.servers.values()
         )
     )
--- a/src/amaranthferry/coordinator.py
+++ b/src/amaranthferry/coordinator.py
@@ -274,21 +274,25 @@
         return Chooser(records, now, self._placement_limits(now), self.lengths)
 
     def _placement_limits(self, now: Seconds) -> PlacementLimits:
-        straggler = self.policy.straggler and not self._is_slow_as_a_whole()
+        policy = msgspec.structs.replace(
+            self.policy, straggler=self.restricts_stragglers
+        )
         return PlacementLimits(
             share=REBUILD_SHARE if self.is_rebuilding(now) else 1.0,
             bulk_share=self.pool.bulk_share if self.policy.bulk_share else 1.0,
-            policy=msgspec.structs.replace(self.policy, straggler=straggler),
+            policy=policy,
         )
 
-    def _is_slow_as_a_whole(self) -> bool:
-        """Return whether most servers are slow, which then isn't due to each of them.
+    @property
+    def restricts_stragglers(self) -> bool:
+        """Return whether slow servers get less work, unless most servers are slow.
 
         Hosts that are late measure it of all servers, and so does too much work.
         """
         records = [record for record in self.servers.values() if record.accepts_work]
         slow = sum(record.straggler.straggling for record in records)
-        return slow > max(1.0, MAX_STRAGGLING_FRACTION * len(records))
+        common = slow > max(1.0, MAX_STRAGGLING_FRACTION * len(records))
+        return self.policy.straggler and not common
 
     def prompt_of(self, request: PermitRequest) -> Prompt:
         """Return the parts of a request's prompt that others may share."""
--- a/tests/test_availability.py
+++ b/tests/test_availability.py
@@ -1,6 +1,11 @@
 import pytest
 
-from amaranthferry.availability import Availability, availability_of, idle_slots
+from amaranthferry.availability import (
+    Availability,
+    availability_of,
+    count_servers,
+    idle_slots,
+)
 from amaranthferry.types import ServerState, ServerStateSource
 from tests.scheduling import Session, server
 
@@ -61,3 +66,10 @@
     assert idle_slots(session.coordinator) == 7
     leave(session.coordinator.servers["e2"])
     assert idle_slots(session.coordinator) == 3
+
+
+def test_servers_that_are_all_slow_are_not_counted_as_stragglers():
+    session = Session(*(server(f"e{number}") for number in range(4)))
+    for record in session.coordinator.servers.values():
+        straggle(record)
+    assert count_servers(session.coordinator, 1.5) == {Availability.FREE: 4}
