Tell a coordinator of the quota usage that others granted meanwhile

With a coordinator cut off for 5 s a workspace could use more than its quota allows (rule QUOTA).

Cause: a coordinator counts what it grants itself. What a stand-in or the hosts themselves had granted while it was cut off was never counted there, so it granted the whole quota again as the hosts returned.

Change: a host records the usage that others than the coordinator granted and reports it as it returns. A new message, since a registration has to stay as earlier builds write it; they log and skip what they don't know.

Evidence: the new test fails without the change (no such message).

--- a/src/amaranthferry/coordination.py
+++ b/src/amaranthferry/coordination.py
@@ -29,6 +29,7 @@
     Registration,
     ServerNotice,
     ShardAdvert,
+    UsageElsewhere,
 )
 from .part_updates import ask_others, check_answers, exchange_parts
 from .reducer import apply_event, receive_message
@@ -64,9 +65,10 @@
 
 @receive_message.register(PermitWithdraw)
 @receive_message.register(PermitProgress)
+@receive_message.register(UsageElsewhere)
 @receive_message.register(PermitRelease)
 def _(
-    message: PermitWithdraw | PermitProgress | PermitRelease,
+    message: PermitWithdraw | PermitProgress | PermitRelease | UsageElsewhere,
     event: PeerReceived,
     state: HostState,
 ) -> list[Effect]:
--- a/src/amaranthferry/coordinator_reducer.py
+++ b/src/amaranthferry/coordinator_reducer.py
@@ -32,6 +32,7 @@
     PermitRequest,
     PermitWithdraw,
     Registration,
+    UsageElsewhere,
 )
 from .servers import Permit
 from .types import HostId, Seconds
@@ -264,3 +265,13 @@
     for waiting in message.waiting:
         effects += enqueue(coordinator, waiting, sender, now)
     return effects + grant_waiting(coordinator, now)
+
+
+@_receive.register
+def _(
+    message: UsageElsewhere, coordinator: Coordinator, sender: HostId, now: Seconds
+) -> list[Effect]:
+    # A ledger that is being rebuilt gets the usage with the registrations.
+    if coordinator.has_role and not coordinator.is_rebuilding(now):
+        coordinator.quotas.add_usage_elsewhere(message.usage, now)
+    return []
--- a/src/amaranthferry/entry.py
+++ b/src/amaranthferry/entry.py
@@ -268,6 +268,9 @@
     if arrival.quota_cost > 0 and not req.tried_servers:
         usage = state.usage.setdefault(req.shard, UsageRecord())
         usage.record(arrival.workspace, arrival.quota_cost, state.now)
+        if req.permit_host != state.coordinator_of(req.shard):
+            elsewhere = state.usage_elsewhere.setdefault(req.shard, UsageRecord())
+            elsewhere.record(arrival.workspace, arrival.quota_cost, state.now)
 
 
 def _dispatch(state: HostState, req: Request) -> list[Effect]:
--- a/src/amaranthferry/fallback.py
+++ b/src/amaranthferry/fallback.py
@@ -11,8 +11,15 @@
 import xxhash
 
 from .coordinator import Coordinator, notice_interval
-from .effects import CountMetric, Effect, ReportFallbackEnd, ReportFallbackStart
+from .effects import (
+    CountMetric,
+    Effect,
+    ReportFallbackEnd,
+    ReportFallbackStart,
+    SendToHost,
+)
 from .events import PeerLost
+from .messages import UsageElsewhere
 from .reducer import apply_event
 from .registration import register_requests, replay_server_reports
 from .requests import Request
@@ -170,12 +177,23 @@
     if left == state.coordinator_of(shard):
         return [report]
     effects = [report, *register_requests(state, shard)]
+    effects += _report_usage(state, shard)
     if left != state.host:
         # The other decider drops the requests that it still has waiting.
         effects += register_requests(state, shard, host=left)
     return effects
 
 
+def _report_usage(state: HostState, shard: ShardId) -> list[Effect]:
+    """Tell a shard's coordinator of the usage that others have granted meanwhile."""
+    record = state.usage_elsewhere.pop(shard, None)
+    usage = dict(record.usage(state.now)) if record is not None else {}
+    if not usage:
+        return []
+    message = UsageElsewhere(shard, usage)
+    return [SendToHost(host=state.coordinator_of(shard), message=message)]
+
+
 def _may_return(state: HostState, shard: ShardId, absence: Absence) -> bool:
     coordinator = state.coordinator_of(shard)
     if coordinator in (state.host, state.stand_ins.get(shard)):
--- a/src/amaranthferry/messages.py
+++ b/src/amaranthferry/messages.py
@@ -157,6 +157,13 @@
     usage_age: Seconds = 0.0
 
 
+class UsageElsewhere(Message, frozen=True, tag="usage"):
+    """Report the recent quota usage that other hosts granted to a returning host."""
+
+    shard: ShardId
+    usage: dict[WorkspaceId, tuple[float, ...]]
+
+
 class ShardAdvert(Message, frozen=True, tag="advert"):
     """Advertise the predicted wait in a shard's queue by tier rank."""
 
--- a/src/amaranthferry/quota.py
+++ b/src/amaranthferry/quota.py
@@ -138,6 +138,18 @@
             for index, cost in enumerate(used[:KEPT_BUCKETS]):
                 total[index] += cost
 
+    def add_usage_elsewhere(self, usage: Usage, now: Seconds) -> None:
+        """Count recent usage that another ledger charged as if it were of this moment.
+
+        Buckets are in order of time, so it stays counted for longer than it was due.
+        """
+        for workspace, used in usage.items():
+            quota = self._quotas.get(workspace)
+            if quota is None or quota.rate <= 0:
+                continue
+            counted = sum(used[: int(quota.window / BUCKET_WIDTH) + 1])
+            self._buckets_of(workspace).add(counted, int(now / BUCKET_WIDTH))
+
     def apply_reported_usage(self, hosts: int) -> None:
         """Apply the reported usage, once all of `hosts` hosts had time to report."""
         if self._usage_applied:
--- a/src/amaranthferry/state.py
+++ b/src/amaranthferry/state.py
@@ -114,6 +114,8 @@
     resumed_at: Seconds = 0.0
     started_at: Seconds | None = None
     usage: dict[ShardId, UsageRecord] = {}
+    #: The part of it that coordinators have not granted and don't know of.
+    usage_elsewhere: dict[ShardId, UsageRecord] = {}
     lost_hosts: dict[HostId, Seconds] = {}
     hold_offs: dict[ServerIncarnation, Seconds] = {}
     leaving: LeavingServers = msgspec.field(default_factory=LeavingServers)
--- a/tests/test_fallback.py
+++ b/tests/test_fallback.py
@@ -21,6 +21,7 @@
     Registration,
     RunningWork,
     ShardAdvert,
+    UsageElsewhere,
 )
 from amaranthferry.types import HostId, ShardId
 
@@ -539,3 +540,36 @@
     assert len(host.state.coordinators[SHARD].queue)
     host.receive(others[0], Registration(SHARD, (), ()))
     assert not len(host.state.coordinators[SHARD].queue)
+
+
+def test_coordinator_counts_the_usage_that_others_granted_meanwhile():
+    hosts = names(4)
+    state = new_state(hosts[0], hosts)
+    coordinator, successor = state.coordinator_of(SHARD), state.successor_of(SHARD)
+    away = next(name for name in hosts if name not in (coordinator, successor))
+    host = LoneHost(new_state(away, hosts))
+    host.notifying = [successor]
+    for number in range(4):
+        host.apply(arrival(f"r{number}", timeout=60.0, quota_cost=250.0))
+    host.run(0.6)
+    for number in range(4):
+        host.receive(successor, PermitGrant(f"r{number}", SHARD, f"e{number}"))
+    host.run(2.0)
+    host.receive(coordinator, ShardAdvert(SHARD, coordinator, ()))
+    host.run(2.1)
+    (told,) = (
+        message
+        for _, target, message in host.sent
+        if target == coordinator and isinstance(message, UsageElsewhere)
+    )
+    decider = LoneHost(new_state(coordinator, hosts))
+    quotas = {"": Quota(rate=100.0, burst=200.0, window=8.0)}
+    limited = msgspec.structs.replace(
+        decider.state.deployment, version=2, quotas=quotas
+    )
+    decider.apply(events.SettingsApplied(now=0.0, deployment=limited))
+    decider.receive(away, ask("early", quota_cost=1.0))
+    decider.run(9.0)
+    decider.receive(away, told)
+    decider.receive(away, ask("later", quota_cost=1.0))
+    assert [grant.request_id for grant in decider.grants()] == ["early"]
