--- a/src/amaranthferry/control_harm.py
+++ b/src/amaranthferry/control_harm.py
@@ -1,16 +1,15 @@
 """Measure, in virtual time, how a fleet deals with prompt parts that end servers."""
 
-import heapq
 import itertools
 import random
 import statistics
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Iterable, Sequence
 
 import msgspec
 
-from .catalog import BudgetLimits, Catalog, Engine, Instance, RoutedService
-from .catalog import deployment_of as compile_catalog
+from .catalog import BudgetLimits, Instance
 from .config import Deployment
+from .control_fleet import MODEL, POOL, PeerLinks, VirtualTime, engine_deployment
 from .core import HostState, reduce
 from .effects import Dispatch, Effect, ReportPart, SendToHost, SettleRequest
 from .events import (
@@ -30,21 +29,18 @@
 from .types import (
     ClassId,
     HostId,
-    ModelId,
-    PoolId,
     RefusalReason,
     RequestId,
     Seconds,
     ServerId,
     ServerState,
-    SettingsVersion,
     TierId,
     WorkspaceId,
     ZoneId,
 )
 
-POOL = PoolId("engines")
 SLOTS = 6
+LIMITS = BudgetLimits(repeat_ratio=0.2, repeat_burst=20.0, repeat_refill=2.0)
 HARMFUL_PART = 0xBAD
 SYSTEM_PARTS = (0x51, 0x52, 0x53)
 DOCUMENTS = 40
@@ -121,16 +117,14 @@
         )
 
 
-class HarmFleet:
+class HarmFleet(VirtualTime):
     """Run the reducers of all hosts, with delayed messages and simulated servers."""
 
     def __init__(self, case: HarmCase) -> None:
+        super().__init__()
         self.case = case
-        self.now: Seconds = 0.0
         self.rng = random.Random(case.seed)
-        self._events: list[tuple[Seconds, int, Callable[[], None]]] = []
-        self._sequence = itertools.count()
-        self._last_delivery: dict[tuple[HostId, HostId], Seconds] = {}
+        self._links = PeerLinks(self.rng, loss=case.loss)
         self._numbers = itertools.count(1)
         self.servers: dict[ServerId, _Server] = {}
         self._listed: dict[ServerId, Instance] = {}
@@ -154,19 +148,6 @@
         for name in names:
             self._add_host(name, names)
 
-    # Time.
-
-    def at(self, time: Seconds, action: Callable[[], None]) -> None:
-        """Schedule an action."""
-        heapq.heappush(self._events, (time, next(self._sequence), action))
-
-    def run_until(self, end: Seconds) -> None:
-        """Perform all actions up to a time."""
-        while self._events and self._events[0][0] <= end:
-            self.now, _, action = heapq.heappop(self._events)
-            action()
-        self.now = end
-
     # Hosts.
 
     def _add_host(self, name: HostId, names: tuple[HostId, ...]) -> None:
@@ -226,25 +207,18 @@
         self.updates += isinstance(message, HarmfulPartsUpdate)
         if self.unreachable & {sender, target}:
             return
-        if self.rng.random() < self.case.loss:
-            return
-        arrive = self.now + self.case.delay * self.rng.uniform(0.5, 1.5)
-        arrive = max(arrive, self._last_delivery.get((sender, target), 0.0))
-        self._last_delivery[sender, target] = arrive
-        self.at(arrive, lambda: self._receive(sender, target, message))
+        arrive = self._links.arrival(
+            sender, target, now=self.now, delay=self.case.delay
+        )
+        if arrive is not None:
+            self.at(arrive, lambda: self._receive(sender, target, message))
 
     def _receive(self, sender: HostId, target: HostId, message: Message) -> None:
         event = PeerReceived(now=self.now, sender=sender, message=message)
         self.apply(target, event)
 
     def _deployment(self) -> Deployment:
-        service = RoutedService(
-            name=POOL,
-            engine=Engine(slots=SLOTS, kv_tokens=400_000, models=(ModelId("m"),)),
-        )
-        catalog = Catalog(version=SettingsVersion(1), services={POOL: service})
-        limits = BudgetLimits(repeat_ratio=0.2, repeat_burst=20.0, repeat_refill=2.0)
-        return compile_catalog(catalog, dict(self._listed), limits)
+        return engine_deployment(self._listed, slots=SLOTS, limits=LIMITS)
 
     def _list_servers(self) -> None:
         for name in self.hosts:
@@ -375,7 +349,7 @@
             timeout=10.0,
             prompt_tokens=1_000,
             output_tokens=100,
-            model=ModelId("m"),
+            model=MODEL,
             prefixes=parts,
             prefix_lengths=(60, 460, 500),
             objective=1.0,
