--- a/src/amaranthferry/cli_control.py
+++ b/src/amaranthferry/cli_control.py
@@ -13,6 +13,7 @@
 from .control_entry import measure_entry
 from .control_harm import HarmCase, format_harm
 from .control_members import measure_membership, measure_peers
+from .control_overload import Disruption, OverloadCase, format_overload
 from .control_settings import measure_settings
 from .control_shards import measure_coordinator, measure_lookup, request_bytes
 from .slopes import Series, format_series, resident_bytes
@@ -83,6 +84,21 @@
     typer.echo(format_harm(cases, range(1, seeds + 1)))
 
 
+@app.command()
+def overload(
+    hosts: Annotated[list[int], typer.Option()] = [3, 16, 64, 137, 200, 370],  # noqa: B006
+    case: Annotated[list[Disruption], typer.Option()] = list(Disruption),  # noqa: B006
+    loss: Annotated[float, typer.Option()] = 0.0,
+    seed: Annotated[int, typer.Option()] = 1,
+) -> None:
+    """Simulate disruptions of a fleet in virtual time, and what it serves after them."""
+    cases = [
+        OverloadCase(hosts=count, disruption=disruption, loss=loss, seed=seed)
+        for disruption, count in itertools.product(case, hosts)
+    ]
+    typer.echo(format_overload(cases))
+
+
 @app.command()
 def slopes(
     part: Annotated[list[Component], typer.Option()] = [],  # noqa: B006
