--- a/src/amaranthferry/cli_control.py
+++ b/src/amaranthferry/cli_control.py
@@ -13,7 +13,7 @@
 from .control_entry import measure_entry
 from .control_harm import HarmCase, format_harm
 from .control_members import measure_membership, measure_peers
-from .control_overload import Disruption, OverloadCase, format_overload
+from .control_overload import LARGE_HOSTS, Disruption, OverloadCase, format_overload
 from .control_settings import measure_settings
 from .control_shards import measure_coordinator, measure_lookup, request_bytes
 from .slopes import Series, format_series, resident_bytes
@@ -88,12 +88,21 @@
 def overload(
     hosts: Annotated[list[int], typer.Option()] = [3, 16, 64, 137, 200, 370],  # noqa: B006
     case: Annotated[list[Disruption], typer.Option()] = list(Disruption),  # noqa: B006
+    large_hosts: Annotated[int, typer.Option(min=0)] = LARGE_HOSTS,
+    servers: Annotated[int, typer.Option(help="0: in proportion to the hosts.")] = 0,
     loss: Annotated[float, typer.Option()] = 0.0,
     seed: Annotated[int, typer.Option()] = 1,
 ) -> None:
     """Simulate disruptions of a fleet in virtual time, and what it serves after them."""
     cases = [
-        OverloadCase(hosts=count, disruption=disruption, loss=loss, seed=seed)
+        OverloadCase(
+            hosts=count,
+            servers=servers,
+            disruption=disruption,
+            large_hosts=large_hosts,
+            loss=loss,
+            seed=seed,
+        )
         for disruption, count in itertools.product(case, hosts)
     ]
     typer.echo(format_overload(cases))
--- a/src/amaranthferry/control_overload.py
+++ b/src/amaranthferry/control_overload.py
@@ -41,7 +41,13 @@
     Ticked,
     TokensSeen,
 )
-from .messages import Message, PermitGrant, PermitRequest, Registration
+from .messages import (
+    Message,
+    PermitGrant,
+    PermitProgress,
+    PermitRequest,
+    Registration,
+)
 from .running import can_rerun
 from .types import (
     ClassId,
@@ -65,10 +71,10 @@
 #: Hosts and servers of the fleet that the others are scaled from.
 HOSTS_OF_REFERENCE = 137
 SERVERS_OF_REFERENCE = 56
-#: Processor share of most hosts, of the large ones, and how many of these there are.
+#: Processor time per second of most hosts, of the large ones, and their number.
 SHARE = 0.361
-LARGE_SHARE = 0.717
-LARGE_HOSTS_PER_ZONE = 2
+LARGE_SHARE = 2.15
+LARGE_HOSTS = 6
 
 #: Processor time of a whole core, after docs/CAPACITY.md.
 EVENT_COST: Seconds = 40e-6
@@ -179,6 +185,7 @@
     SLOW = "slow"
     UNREACHABLE = "unreachable"
     KILLED = "killed"
+    ISOLATED = "isolated"
     SERVERS = "servers"
 
 
@@ -186,7 +193,7 @@
     """Define one simulated fleet, its load and what disturbs it.
 
     `load` is the calm one as a part of all slots. A burst multiplies it by `burst`;
-    a slow coordinator's host has its share divided by `slowness`.
+    a slow coordinator's host has its processor slowed by `slowness`.
     """
 
     hosts: int = 3
@@ -199,7 +206,7 @@
     disrupted: Seconds = 5.0
     after: Seconds = 10.0
     loss: float = 0.0
-    share: float = SHARE
+    large_hosts: int = LARGE_HOSTS
     seed: int = 1
 
     @property
@@ -235,8 +242,8 @@
     """Report the outcome of one case.
 
     `recovery` is the time from the end of the disruption until the earned part stays
-    at nine tenths of the calm one. `own` counts at servers what hosts decided for
-    themselves: the most at one server, and the most at all of them at once.
+    at nine tenths of the calm one. `own` counts at servers what hosts decided without
+    the coordinator's role: the most at one server, and at all of them at once.
     """
 
     calm: Earned
@@ -254,6 +261,7 @@
     messages: int
     lateness: Seconds
     fallbacks: int
+    stand_ins: int
 
 
 class _Call(msgspec.Struct, eq=False, kw_only=True):
@@ -331,7 +339,7 @@
         self._listed = {name: item.instance() for name, item in self.engines.items()}
         names = tuple(HostId(f"host-{number}") for number in range(case.hosts))
         self.zones = {name: ZONES[at % len(ZONES)] for at, name in enumerate(names)}
-        #: Processor share of each host; the first ones of each zone may be large.
+        #: Processor time per second of each host; the first ones may be large.
         self.capacities = {
             name: self._capacity(number) for number, name in enumerate(names)
         }
@@ -349,6 +357,7 @@
         self.rejected = 0
         self.messages = 0
         self.fallbacks = 0
+        self.stand_ins = 0
         self.lateness: Seconds = 0.0
         self.hosts = {name: _Host(self._state(name, names), 1.0) for name in names}
         for name, host in self.hosts.items():
@@ -356,10 +365,8 @@
             self._start_ticks(host)
 
     def _capacity(self, number: int) -> float:
-        large = number < LARGE_HOSTS_PER_ZONE * len(ZONES)
-        if not large or self.case.hosts <= LARGE_HOSTS_PER_ZONE * len(ZONES):
-            return self.case.share
-        return self.case.share * LARGE_SHARE / SHARE
+        large = number < self.case.large_hosts < self.case.hosts
+        return LARGE_SHARE if large else SHARE
 
     def _state(self, name: HostId, names: tuple[HostId, ...]) -> HostState:
         return HostState(
@@ -368,8 +375,8 @@
             deployment=self._deployment(),
             hosts=names,
             now=self.now,
-            capacities=self.capacities,
             coordinator_timeout=COORDINATOR_TIMEOUT,
+            capacities=self.capacities,
         )
 
     def _deployment(self) -> Deployment:
@@ -444,10 +451,11 @@
         message = event.message
         if isinstance(message, Registration):
             cost += EVENT_COST * (len(message.waiting) + len(message.running))
+        if isinstance(message, PermitProgress) and message.output_tokens > 1:
+            return cost
         if isinstance(message, PermitRequest) and not waiting:
-            waiting = max(
-                (len(item.servers) for item in self._deciding(state)), default=0
-            )
+            deciding = self._deciding(state)
+            waiting = max((len(item.servers) for item in deciding), default=0)
         return cost + self._pass_cost(waiting)
 
     @staticmethod
@@ -462,15 +470,14 @@
     # Effects.
 
     def _note_grants(self, state: HostState, effects: Sequence[Effect]) -> None:
-        """Note the grants of a host that decides in place of the coordinator."""
+        """Note the grants of hosts that decide in place of the coordinator."""
         for effect in effects:
             if not isinstance(effect, SendToHost):
                 continue
             grant = effect.message
             if not isinstance(grant, PermitGrant):
                 continue
-            own = effect.host == state.host and grant.shard in state.fallbacks
-            if own:
+            if not _has_role(state, effect.host, grant):
                 self.own_grants += 1
                 self._own_grants.add(grant.request_id)
             else:
@@ -487,6 +494,7 @@
             self._settle(effect)
         elif isinstance(effect, CountMetric):
             self.fallbacks += effect.name == "coordinator.fallbacks"
+            self.stand_ins += effect.name == "coordinator.stand_ins"
 
     def _send(self, host: _Host, target: HostId, message: Message) -> None:
         received = PeerReceived(now=self.now, sender=host.name, message=message)
@@ -745,6 +753,7 @@
             Disruption.SLOW: self._slow_coordinators,
             Disruption.UNREACHABLE: self._cut_coordinators,
             Disruption.KILLED: self._kill_coordinators,
+            Disruption.ISOLATED: self._cut_all,
             Disruption.SERVERS: self._lose_servers,
         }[self.case.disruption]
         self.at(self.case.starts_at, lambda: self.at(self.case.ends_at, start()))
@@ -772,6 +781,10 @@
         self.unreachable.update(host.name for host in self.coordinating_hosts())
         return self.unreachable.clear
 
+    def _cut_all(self) -> Callable[[], None]:
+        self.unreachable.update(self.hosts)
+        return self.unreachable.clear
+
     def _kill_coordinators(self) -> Callable[[], None]:
         killed = self.coordinating_hosts()
         for host in killed:
@@ -884,9 +897,18 @@
             messages=self.messages,
             lateness=self.lateness,
             fallbacks=self.fallbacks,
+            stand_ins=self.stand_ins,
         )
 
 
+def _has_role(state: HostState, target: HostId, grant: PermitGrant) -> bool:
+    """Return whether a host grants as the shard's coordinator."""
+    if target == state.host and grant.shard in state.fallbacks:
+        return False
+    coordinator = state.coordinators.get(grant.shard)
+    return coordinator is None or coordinator.has_role
+
+
 def run_case(case: OverloadCase) -> OverloadResult:
     """Simulate one case."""
     fleet = OverloadFleet(case)
@@ -901,7 +923,7 @@
     lines = [
         "| hosts | servers | disruption | earned, calm | disrupted | large, medium, small"
         " | after | recovery, s | most at a server | own, most at one, sum (slots)"
-        " | rejected | messages a request | lateness, s | fallbacks |",
+        " | rejected | messages a request | lateness, s | stand-ins, fallbacks |",
         "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |",
     ]
     for case in cases:
@@ -921,7 +943,7 @@
             f"{result.rejected} of {result.arrivals}",
             f"{result.messages / result.requests:.1f}",
             f"{result.lateness:.2f}",
-            result.fallbacks,
+            f"{result.stand_ins}, {result.fallbacks}",
         )
         lines.append("| " + " | ".join(str(cell) for cell in cells) + " |")
     return "\n".join(lines)
