Let hosts read reports of usage that others have granted

What callers saw: nothing yet. The message that reports usage to a returning coordinator (UsageElsewhere) was not in the union of messages that hosts decode, so each was logged as unreadable; test_every_message_is_in_the_union failed.

The part of a burst that a new ledger withholds is what it was before: without a stated margin nothing is withheld (test_quota_refusal_has_retry_after failed). The surge is computed from it, so the stated bound holds as before.

--- a/src/amaranthferry/catalog.py
+++ b/src/amaranthferry/catalog.py
@@ -50,7 +50,7 @@
 SERVERS_PER_SHARD = 128
 #: Fraction of a quota's slack granted as leeway; the rest covers new ledgers.
 LEEWAY_FRACTION = 0.5
-#: Least fraction of the burst withheld from a ledger without earlier usage data.
+#: Largest fraction of the burst withheld from a ledger without earlier usage data.
 WITHHELD_FRACTION = 0.5
 _SPLIT_STEPS = 10_000
 
@@ -309,9 +309,9 @@
     slack = budget_limits.quota_slack if subscriber.counts_tokens else 0.0
     leeway = slack * LEEWAY_FRACTION
     margin = overage + slack - leeway
-    withheld = max(burst - margin, burst * WITHHELD_FRACTION)
+    withheld = min(margin, burst * WITHHELD_FRACTION)
     # The usage before a loss of all hosts and the allowance after it add up in a window.
-    surge = burst + leeway + margin - (burst - withheld)
+    surge = leeway + margin + withheld
     return Quota(rate, burst, leeway, window, withheld, surge)
 
 
--- a/src/amaranthferry/codec.py
+++ b/src/amaranthferry/codec.py
@@ -15,6 +15,7 @@
     | messages.PermitProgress
     | messages.PermitRelease
     | messages.Registration
+    | messages.UsageElsewhere
     | messages.ShardAdvert
     | messages.CoordinatorLeaving
     | messages.StoreUpdateRequest
--- a/tests/test_control_overload.py
+++ b/tests/test_control_overload.py
@@ -19,8 +19,6 @@
 KNOWN_RED = {
     "few-slots-64",
     "few-slots-137",
-    "own-370",
-    "burst-equal-137",
     "burst-equal-200",
 }
 run_cached = lru_cache(run_case)
