--- a/src/amaranthferry/effects.py
+++ b/src/amaranthferry/effects.py
@@ -133,7 +133,7 @@
 
 
 class ReportFallbackStart(Effect, frozen=True):
-    """Report that another host decides this one's permits than before, or itself.
+    """Report that another decider than before decides on this host's permits.
 
     `silent` is the time without a message from the one that decided, or None if it sent
     none.
