--- a/src/amaranthferry/gateway/decisions.py
+++ b/src/amaranthferry/gateway/decisions.py
@@ -20,7 +20,7 @@
 from ..messages import Message, PermitGrant, PermitRefusal
 from ..servers import Permit
 from ..state import HostState
-from ..types import HostId, Seconds, ServerSignal, ShardId
+from ..types import HostId, Seconds, ServerId, ServerSignal, ShardId
 from .dispatching import Dispatch
 from .exchange import RoutedExchange
 from .log_events import LogEvent
@@ -28,6 +28,9 @@
 _log = structlog.get_logger(__name__)
 #: Lines a second about servers that a coordinator backs off from.
 MAX_BACKOFF_LINES = 40
+#: Lines a second about headers that can't be read, and their longest value shown.
+MAX_UNREADABLE_LINES = 1
+MAX_SHOWN_VALUE = 40
 _SIGNAL_EVENTS = {
     ServerSignal.LEAVING: LogEvent.SERVER_LEAVING,
     ServerSignal.LEAVING_FORGOTTEN: LogEvent.SERVER_LEAVING_FORGOTTEN,
@@ -230,22 +233,38 @@
     return None if seconds is None else round(seconds, 3)
 
 
-class BackoffLog:
-    """Log the servers that a coordinator backs off from, a bounded number a second."""
+class LineLimit:
+    """Bound the lines of one kind a second, and count those that are skipped."""
 
-    def __init__(self) -> None:
+    def __init__(self, per_second: int) -> None:
+        self._per_second = per_second
         self._second = 0
         self._lines = 0
         self._skipped = 0
 
-    def record(self, effect: ReportBackoff, now: Seconds) -> None:
-        """Log one backoff, or count it with the next line that is written."""
+    def take(self, now: Seconds) -> int | None:
+        """Return the lines skipped before a line, or None if it is skipped as well."""
         if int(now) != self._second:
             self._second, self._lines = int(now), 0
-        if self._lines >= MAX_BACKOFF_LINES:
+        if self._lines >= self._per_second:
             self._skipped += 1
-            return
+            return None
         self._lines += 1
+        skipped, self._skipped = self._skipped, 0
+        return skipped
+
+
+class BackoffLog:
+    """Log the servers that a coordinator backs off from, a bounded number a second."""
+
+    def __init__(self) -> None:
+        self._lines = LineLimit(MAX_BACKOFF_LINES)
+
+    def record(self, effect: ReportBackoff, now: Seconds) -> None:
+        """Log one backoff, or count it with the next line that is written."""
+        skipped = self._lines.take(now)
+        if skipped is None:
+            return
         _log.info(
             LogEvent.SERVER_BACKED_OFF,
             shard=effect.shard,
@@ -253,9 +272,26 @@
             duration=_rounded(effect.duration),
             asker=effect.host,
             request_id=effect.request_id,
-            skipped=self._skipped,
+            skipped=skipped,
         )
-        self._skipped = 0
+
+
+class UnreadableLimitLog:
+    """Log what servers send in place of a limit, a bounded number of lines a second."""
+
+    def __init__(self) -> None:
+        self._lines = LineLimit(MAX_UNREADABLE_LINES)
+
+    def record(self, server: ServerId, value: str, now: Seconds) -> None:
+        """Log one value, or count it with the next line that is written."""
+        skipped = self._lines.take(now)
+        if skipped is not None:
+            _log.warning(
+                LogEvent.SERVER_LIMIT_UNREADABLE,
+                server=server,
+                value=value[:MAX_SHOWN_VALUE],
+                skipped=skipped,
+            )
 
 
 def log_waiting(state: HostState, now: Seconds) -> None:
--- a/src/amaranthferry/gateway/dispatching.py
+++ b/src/amaranthferry/gateway/dispatching.py
@@ -124,6 +124,8 @@
         self._started_at: Seconds | None = None
         self._progress_at: Seconds = 0.0
         self._unfinished = 0
+        #: The limit that the answer names, as far as it has been read.
+        self.limit = headers.NamedLimit()
         #: When the server counts as silent unless it sends something before.
         self._silent_at: Seconds = 0.0
         #: The state of the server's process after a broken answer.
@@ -155,6 +157,7 @@
             "framing": self.framing,
             "closed_by_peer": self._conn is not None and self._conn.closed_by_peer,
             "partial_event": self._reader.partial_size if self._reader else 0,
+            "server_limit": self.limit.rate,
         }
 
     def _break_details(self) -> dict[str, object]:
@@ -290,6 +293,7 @@
         self.framing = start.framing
         self._started_at = self._clock()
         origin = headers.read_answer_origin(start.fields(), start.status)
+        self.limit = headers.read_limit(start.headers)
         if origin.leaving:
             self._report(
                 ServerLeavingSeen(now=self._clock(), incarnation=self._incarnation)
--- a/src/amaranthferry/gateway/log_events.py
+++ b/src/amaranthferry/gateway/log_events.py
@@ -41,6 +41,7 @@
     SERVER_LEAVING_FORGOTTEN = "server.leaving_forgotten"
     SERVER_HELD_OFF = "server.held_off"
     SERVER_HOLD_OFF_ENDED = "server.hold_off_ended"
+    SERVER_LIMIT_UNREADABLE = "server.limit_unreadable"  # server, value, skipped
     # What is believed of prompt parts: part, pool, model, version, before, ends,
     # requests, lasted, source.
     PART_SUSPECTED = "part.suspected"
@@ -78,7 +79,8 @@
     REQUEST_HELD = "request.held"  # request_id, part, held_for, ends, trials
     REQUEST_REFUSED = "request.refused"  # attempt, code, status, version, belief_age
     REQUEST_DISPATCHED = "request.dispatched"  # request_id, route, server, waited
-    # request_id, route, server, runs, ages, framing, closed_by_peer, partial_event
+    # request_id, route, server, runs, ages, framing, closed_by_peer, partial_event,
+    # server_limit
     REQUEST_ANSWERED = "request.answered"
     REQUEST_SETTLED = "request.settled"  # request_id, outcome, reason, retry_after
     DISPATCH_UNREACHED = "dispatch.unreached"  # request_id, server, problem
@@ -86,7 +88,7 @@
     DISPATCH_NOT_RUN = "dispatch.not_run"
     DISPATCH_FAILED = "dispatch.failed"  # request_id, server, status
     # request_id, server, problem, process, framing, closed_by_peer, partial_event,
-    # answering_for, parts
+    # server_limit, answering_for, parts
     DISPATCH_BROKEN = "dispatch.broken"
     PERMIT_GRANTED = "permit.granted"  # request_id, asker, server, waited, queue
     # request_id, shard, coordinator, server, reason, age
--- a/src/amaranthferry/gateway/performer.py
+++ b/src/amaranthferry/gateway/performer.py
@@ -36,6 +36,7 @@
 from . import dispatching
 from .decisions import (
     BackoffLog,
+    UnreadableLimitLog,
     log_answer,
     log_decision,
     log_fallback_end,
@@ -61,6 +62,7 @@
     def __init__(self, app: "Gateway") -> None:
         self.app = app
         self.backoffs = BackoffLog()
+        self.unreadable_limits = UnreadableLimitLog()
 
     def perform(self, effect: Effect) -> None:
         """Perform one effect; asynchronous work continues in a task."""
@@ -225,6 +227,7 @@
     app.telemetry.dispatches.add(route, dispatch.end, dispatch.framing or "")
     if dispatch.rejected:
         app.telemetry.rejections.add(dispatch.service, dispatch.decided_by)
+    _record_limit(performer, dispatch)
     if dispatch.process is not None:
         app.telemetry.broken.add(route, dispatch.process)
     if request_id in app.state.requests or (
@@ -236,6 +239,17 @@
     app.close(exchange)
 
 
+def _record_limit(performer: Performer, dispatch: dispatching.Dispatch) -> None:
+    """Count what an answer named as its server's limit."""
+    app, server = performer.app, dispatch.server
+    if dispatch.limit.rate is not None:
+        app.telemetry.named_limits.add(server, "limit")
+    if dispatch.limit.unreadable is not None:
+        app.telemetry.named_limits.add(server, "unreadable")
+        value = dispatch.limit.unreadable
+        performer.unreadable_limits.record(server, value, app.clock())
+
+
 def _record_answer(app: "Gateway", exchange: RoutedExchange) -> None:
     call = exchange.call
     route = call.route.name
--- a/src/amaranthferry/gateway/telemetry.py
+++ b/src/amaranthferry/gateway/telemetry.py
@@ -99,6 +99,11 @@
             "Dispatches that servers refused to run, by who had decided on them.",
             ("service", "decided_by"),
         )
+        self.named_limits = Counter(
+            "named_limits",
+            "Answers that named a limit of their server, by whether it could be read.",
+            ("server", "value"),
+        )
         self.decisions = Counter("decisions", "Counts of the reducer.", ("name",))
         self.first_byte = Histogram(
             "first_byte_seconds", "From arrival to the first byte.", ("route",)
@@ -140,6 +145,7 @@
             telemetry.dispatches,
             telemetry.broken,
             telemetry.rejections,
+            telemetry.named_limits,
             telemetry.decisions,
         ):
             family = CounterMetricFamily(
--- a/src/amaranthferry/platform/headers.py
+++ b/src/amaranthferry/platform/headers.py
@@ -21,6 +21,7 @@
 LAST_EVENT_ID = "last-event-id"
 RETRY_AFTER = "retry-after"
 LEAVING = "server-leaving"
+LIMIT = "server-limit"
 
 #: Headers that only the system may set, and hop-by-hop headers.
 _NOT_FORWARDED = frozenset(
@@ -52,6 +53,7 @@
 )
 _HASH_BITS = 64
 _SECONDS = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?", re.ASCII)
+_RATE = re.compile(r"[0-9]{1,9}(\.[0-9]{1,30})?", re.ASCII)
 
 
 class PromptPart(msgspec.Struct, frozen=True, array_like=True):
@@ -85,6 +87,26 @@
     hold_off: Seconds | None
 
 
+class NamedLimit(msgspec.Struct, frozen=True):
+    """Represent the limit in an answer's headers, in requests a second.
+
+    Without a rate the answer names none; `unreadable` is a header that is not a limit.
+    """
+
+    rate: float | None = None
+    unreadable: str | None = None
+
+
+def read_limit(headers: Iterable[tuple[str, str]]) -> NamedLimit:
+    """Parse the rate of requests that a server takes from all hosts together."""
+    values = [value.strip() for name, value in headers if name == LIMIT]
+    if not values:
+        return NamedLimit()
+    if len(values) > 1 or not _RATE.fullmatch(values[0]):
+        return NamedLimit(unreadable=", ".join(values))
+    return NamedLimit(rate=float(values[0]))
+
+
 def read_request_params(headers: Mapping[str, str]) -> RequestParams:
     """Parse the parameters of a request; malformed values count as absent."""
     prompt, _, output = headers.get(TOKEN_USAGE, "").partition(",")
--- a/src/amaranthferry/standins/routed.py
+++ b/src/amaranthferry/standins/routed.py
@@ -71,6 +71,8 @@
         self.trailer = ""
         #: Whether the server says in all its answers that it leaves.
         self.leaving = False
+        #: Limit that the server names in all its answers, or nothing.
+        self.limit = ""
         #: Hashes of prompt parts that end the process once an answer begins on them.
         self.harmful_parts: frozenset[str] = frozenset()
         self.on_harmful: Callable[[], None] = lambda: None
@@ -89,6 +91,8 @@
             response = await self._answer(request)
             if self.leaving:
                 response.headers["Server-Leaving"] = "1"
+            if self.limit:
+                response.headers["Server-Limit"] = self.limit
             await response(scope, receive, send)
 
     async def _answer(self, request: Request) -> Response | UnframedResponse:
--- a/tests/adapter/test_headers.py
+++ b/tests/adapter/test_headers.py
@@ -118,3 +118,51 @@
     fields = {headers.LEAVING: value}
     assert headers.read_answer_origin(fields, status).leaving is leaving
     assert not headers.read_answer_origin({}, status).leaving
+
+
+@pytest.mark.parametrize(
+    ("text", "rate"),
+    [
+        ("1", 1.0),
+        ("2.2", 2.2),
+        (" 0.3 ", 0.3),
+        ("0", 0.0),
+        ("0.30000000000000004", 0.3),
+    ],
+)
+def test_limit_of_a_server_is_read(text, rate):
+    named = headers.read_limit([(headers.LIMIT, text), ("x", "1")])
+    assert named.rate == pytest.approx(rate)
+    assert named.unreadable is None
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        "x",
+        "-1",
+        "+1",
+        "nan",
+        "inf",
+        "1e400",
+        "1e1",
+        "1, 2",
+        "0x10",
+        "1_0",
+        "1" * 4000,
+    ]
+    + ["1.", ".5", "\u0661"],
+)
+def test_value_that_is_no_limit_is_told_apart_from_none(text):
+    named = headers.read_limit([(headers.LIMIT, text)])
+    assert (named.rate, named.unreadable) == (None, text)
+
+
+def test_header_that_comes_twice_names_no_limit():
+    named = headers.read_limit([(headers.LIMIT, "1"), (headers.LIMIT, "1")])
+    assert (named.rate, named.unreadable) == (None, "1, 1")
+
+
+def test_answer_without_the_header_names_no_limit():
+    assert headers.read_limit([("x", "1")]) == headers.NamedLimit()
--- a/tests/gateway/test_application.py
+++ b/tests/gateway/test_application.py
@@ -548,3 +548,21 @@
             assert body == STREAM[: len(STREAM) // 3]
         assert status == 200
         assert len(system.servers_that_ran(attempt)) == 1
+
+
+@pytest.mark.parametrize(
+    ("header", "server_limit", "counted"),
+    [("2.2", 2.2, "limit"), ("2,2", None, "unreadable"), ("", None, None)],
+)
+async def test_limit_that_an_answer_names_is_logged_and_counted(
+    monkeypatch, header, server_limit, counted
+):
+    log = structlog.testing.CapturingLogger()
+    monkeypatch.setattr(decisions, "_log", log)
+    async with fleet(ledgers=1) as (system, caller):
+        system.servers["ledger-0"].limit = header
+        assert (await caller.send("GET", "/look/x"))[1] == 200
+        counts = system.hosts[0].telemetry.named_limits.values
+    (line,) = [ln.kwargs for ln in log.calls if ln.args == ("request.answered",)]
+    assert line["server_limit"] == server_limit
+    assert counts == ({("ledger-0", counted): 1} if counted else {})
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -43,6 +43,15 @@
     assert lines[-1].kwargs["skipped"] == 9 * decisions.MAX_BACKOFF_LINES
 
 
+def test_unreadable_limits_are_logged_briefly_and_once_a_second(lines):
+    log = decisions.UnreadableLimitLog()
+    for now in (7.1, 7.2, 7.9, 8.0):
+        log.record("s-0", "9" * 4000, now)
+    shown = [line.kwargs for line in lines]
+    assert [line["skipped"] for line in shown] == [0, 2]
+    assert all(len(line["value"]) == decisions.MAX_SHOWN_VALUE for line in shown)
+
+
 def test_fallbacks_and_returned_grants_are_logged(lines):
     decisions.log_fallback_start(
         ReportFallbackStart(
