--- /dev/null
+++ b/tests/gateway/test_limits.py
@@ -0,0 +1,124 @@
+import asyncio
+import collections
+import contextlib
+import itertools
+
+import aiohttp
+import pytest
+
+from amaranthferry.limit_check import LimitedServer
+
+from .fleet import fleet
+
+HOSTS = 6
+SERVERS = 6
+#: Requests a second to all hosts together.
+RATE = 45
+KNOWN_RED = {"engines", "ledgers", "falling", "all"}
+
+
+class Load:
+    """Send requests to all hosts in turn and judge what each server gets."""
+
+    def __init__(self, system, caller, service):
+        self.system, self._caller, self._service = system, caller, service
+        self._loop = asyncio.get_running_loop()
+        self._numbers = itertools.count()
+        self._host_of = {}
+        self.statuses = collections.Counter()
+        self.judged = {name: LimitedServer() for name in system.servers}
+        for name, server in system.servers.items():
+            server.on_arrival = lambda attempt, name=name: self._arrive(name, attempt)
+
+    def limit(self, server, text):
+        """Have a server name a limit from now on, or none."""
+        self.system.servers[server].limit = text
+        self.judged[server].name(float(text) if text else None, self._loop.time())
+
+    def _arrive(self, server, attempt):
+        self.judged[server].arrive(self._host_of[attempt], self._loop.time())
+
+    async def run(self, seconds, *, rate=RATE):
+        end = self._loop.time() + seconds
+        async with asyncio.TaskGroup() as group:
+            while self._loop.time() < end:
+                group.create_task(self._send(next(self._numbers)))
+                await asyncio.sleep(1 / rate)
+
+    async def _send(self, number):
+        attempt, host = f"limited-{number}", number % len(self.system.hosts)
+        self._host_of[attempt] = host
+        options = {"attempt": attempt, "host": host}
+        with contextlib.suppress(aiohttp.ClientError):
+            if self._service == "engines":
+                parts = f"aa:60,{number:x}:20"
+                answer = await self._caller.send_prompt(parts=parts, **options)
+            else:
+                answer = await self._caller.send("GET", "/look/x", **options)
+            _, status, headers, body = answer
+            self.statuses[status] += 1
+            if "Server-Limit" in headers:
+                for server in self.system.servers_that_ran(attempt)[-1:]:
+                    self.judged[server].tell(host, self._loop.time())
+
+    def worst_windows(self, *servers):
+        return {name: self.judged[name].worst() for name in servers}
+
+
+@contextlib.asynccontextmanager
+async def loaded_fleet(service):
+    counts = {"engines": 0, "ledgers": 0, service: SERVERS}
+    async with fleet(hosts=HOSTS, **counts) as (system, caller):
+        yield Load(system, caller, service)
+
+
+def names(service, *numbers):
+    return [f"{service.removesuffix('s')}-{number}" for number in numbers]
+
+
+def known_red(case):
+    marks = [pytest.mark.xfail(strict=True, reason=f"KNOWN-RED.txt: limits-{case}")]
+    return marks if case in KNOWN_RED else []
+
+
+@pytest.mark.parametrize(
+    "service",
+    [pytest.param(name, marks=known_red(name)) for name in ("engines", "ledgers")],
+)
+async def test_all_hosts_together_keep_the_limit_that_a_server_names(service):
+    async with loaded_fleet(service) as load:
+        await load.run(1.0)
+        first, second = names(service, 0, 1)
+        load.limit(first, "1")
+        load.limit(second, "2.2")
+        await load.run(9.0)
+        worst = load.worst_windows(first, second)
+    assert {name: window.excess <= 0 for name, window in worst.items()} == {
+        first: True,
+        second: True,
+    }
+    assert load.statuses[200] >= 0.98 * load.statuses.total()
+
+
+@pytest.mark.parametrize("case", [pytest.param("falling", marks=known_red("falling"))])
+async def test_limit_that_falls_is_kept_by_all_hosts(case):
+    async with loaded_fleet("engines") as load:
+        load.limit("engine-0", "8")
+        await load.run(4.0)
+        load.limit("engine-0", "1.5")
+        await load.run(8.0)
+        (worst,) = load.worst_windows("engine-0").values()
+    assert worst.excess <= 0
+
+
+@pytest.mark.parametrize("case", [pytest.param("all", marks=known_red("all"))])
+async def test_limits_of_all_servers_are_kept_while_much_more_is_asked(case):
+    async with loaded_fleet("engines") as load:
+        for name in names("engines", *range(SERVERS)):
+            load.limit(name, "3")
+        await load.run(10.0)
+        worst = load.worst_windows(*load.judged)
+    assert max(window.excess for window in worst.values()) <= 0
+    # They take 180 requests together.
+    assert load.statuses[200] >= 0.7 * 180
+    assert set(load.statuses) <= {200, 503}
