Judge limits in virtual time, in sum over all hosts

control limits runs the real reducers of 1 to 370 hosts before servers that name limits, beside killed, frozen and cut hosts, changes of the decider, servers that start again and limits that fall, rise, end and come back, and judges every window of 4 s, also with the hosts that the rule excuses or that haven't been told.

--- a/src/amaranthferry/cli_control.py
+++ b/src/amaranthferry/cli_control.py
@@ -12,6 +12,7 @@
 from .control_data import measure_data_path
 from .control_entry import measure_entry
 from .control_harm import HarmCase, format_harm
+from .control_limits import LimitCase, Trouble, draw_incidents, format_limits
 from .control_members import measure_membership, measure_peers
 from .control_overload import LARGE_HOSTS, Disruption, OverloadCase, format_overload
 from .control_settings import measure_settings
@@ -84,6 +85,31 @@
     typer.echo(format_harm(cases, range(1, seeds + 1)))
 
 
+@app.command()
+def limits(
+    hosts: Annotated[list[int], typer.Option()] = [1, 3, 16, 64, 137, 200, 370],  # noqa: B006
+    limit: Annotated[list[float], typer.Option(help="Of a server each.")] = [1.0, 2.2],  # noqa: B006
+    plain: Annotated[bool, typer.Option(help="Plain services, not engines.")] = False,
+    trouble: Annotated[list[Trouble], typer.Option()] = [],  # noqa: B006
+    random_troubles: Annotated[int, typer.Option(min=0)] = 0,
+    seeds: Annotated[int, typer.Option(min=1)] = 1,
+) -> None:
+    """Simulate servers that name limits, before fleets beside troubles of all kinds."""
+    cases = [
+        LimitCase(
+            hosts=count,
+            servers=max(MIN_SERVERS, count // 4),
+            rate=max(MIN_RATE, 1.5 * count),
+            plain=plain,
+            limits=tuple(limit),
+            incidents=draw_incidents(trouble, random_troubles, seed),
+            seed=seed,
+        )
+        for count, seed in itertools.product(hosts, range(1, seeds + 1))
+    ]
+    typer.echo(format_limits(cases))
+
+
 @app.command()
 def overload(
     hosts: Annotated[list[int], typer.Option()] = [3, 16, 64, 137, 200, 370],  # noqa: B006
--- a/src/amaranthferry/limit_check.py
+++ b/src/amaranthferry/limit_check.py
@@ -37,11 +37,17 @@
 class LimitedServer:
     """Record the limits and arrivals of one server, in order of time."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, counts_untold: bool = False) -> None:
+        self._counts_untold = counts_untold
         self._limits: list[tuple[Seconds, float | None]] = []
         self._told: dict[HostId, Seconds] = {}
         self._arrivals: list[tuple[Seconds, HostId]] = []
 
+    @property
+    def limited(self) -> bool:
+        """Return whether the server has ever named a limit."""
+        return any(rate is not None for _, rate in self._limits)
+
     def name(self, rate: float | None, now: Seconds) -> None:
         """Record that the server names a limit from now on, or none."""
         self._limits.append((now, rate))
@@ -56,7 +62,7 @@
 
     def arrive(self, host: HostId, now: Seconds) -> None:
         """Record a request; it counts if the host has known of a limit for a while."""
-        if self._told.get(host, now) + TOLD_TIME <= now:
+        if self._counts_untold or self._told.get(host, now) + TOLD_TIME <= now:
             self._arrivals.append((now, host))
 
     def count(self, since: Seconds, until: Seconds) -> int:
