Have servers name limits in the soak, and judge what they get

A server names a limit, later half of it, then none, while callers send three times as much; what it gets from hosts that have relayed a limit and weren't interrupted is judged in windows of 4 s. Checked: the checks' own tests.

--- a/src/amaranthferry/soak/checks.py
+++ b/src/amaranthferry/soak/checks.py
@@ -6,8 +6,9 @@
 
 import msgspec
 
+from ..limit_check import WINDOW, LimitedServer
 from ..standins.deployment import REVOCATION_BOUND, CallKind, CallRecord
-from ..types import Seconds
+from ..types import HostId, Seconds
 
 #: Statuses that promise that the request has not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -35,6 +36,7 @@
     COMPLETE_ANSWER = "the whole answer to its own caller"
     NO_WORK_TO_LEAVING = "a leaving server gets nothing new"
     HOLD_OFF = "a server is left alone for the time that it asks for"
+    LIMIT = "a server gets no more than the limit that it names"
     HARMFUL_HELD = "prompts that end servers are held"
     SOUND_NOT_HELD = "sound prompts are not held"
     REVOCATION = "a revoked key is refused within its bound"
@@ -67,6 +69,14 @@
     duration: Seconds
 
 
+class NamedLimit(msgspec.Struct, frozen=True):
+    """Record that a server names a limit from a time on, or none."""
+
+    server: str
+    rate: float | None
+    at: Seconds
+
+
 class Span(msgspec.Struct, frozen=True):
     """Represent the time of one fault."""
 
@@ -87,6 +97,7 @@
     #: All requests that have reached their server, refused ones too.
     arrivals: list[Execution] = []
     refusals: list[Refusal] = []
+    limits: list[NamedLimit] = []
     #: Times at which the operator's last write that revoked a key was acknowledged.
     revoked: dict[str, Seconds] = {}
     leaving: dict[str, Seconds] = {}
@@ -109,6 +120,7 @@
         *_check_leaving(record),
         *_check_said_leaving(record),
         *_check_hold_offs(record),
+        *_check_limits(record),
         *_check_harmful(record),
         *_check_sound(record),
         *_check_revocation(record),
@@ -244,6 +256,38 @@
             )
 
 
+def _check_limits(record: SoakRecord) -> Iterator[Violation]:
+    """Check what limited servers get from the hosts that have passed on a limit."""
+    for name in sorted({limit.server for limit in record.limits}):
+        worst = _limited_server(record, name).worst(contact=CONTACT_BOUND)
+        if worst.excess > 0:
+            yield Violation(
+                Guarantee.LIMIT,
+                f"{name} got {worst.arrivals} requests in the {WINDOW:g} s "
+                f"before {worst.end:.2f} s, {worst.allowed:.1f} allowed",
+            )
+
+
+def _limited_server(record: SoakRecord, name: str) -> LimitedServer:
+    calls = {call.attempt: call for call in record.calls}
+    told: dict[str, Seconds] = {}
+    for call in record.calls:
+        if call.server_limited and call.signature == f"signed-{name}":
+            told[call.host] = min(call.ended, told.get(call.host, call.ended))
+    server = LimitedServer()
+    for limit in record.limits:
+        if limit.server == name:
+            server.name(limit.rate, limit.at)
+    for host, at in told.items():
+        server.tell(HostId(host), at)
+    for run in record.arrivals:
+        host = calls[run.attempt].host
+        since = run.at - CONTACT_BOUND
+        if run.server == name and not _was_interrupted(record, host, since, run.at):
+            server.arrive(HostId(host), run.at)
+    return server
+
+
 def _was_interrupted(
     record: SoakRecord, host: str, start: Seconds, end: Seconds
 ) -> bool:
--- a/src/amaranthferry/soak/run.py
+++ b/src/amaranthferry/soak/run.py
@@ -33,6 +33,7 @@
     EVENT_COUNT,
     LEAVING_BOUND,
     Execution,
+    NamedLimit,
     Refusal,
     SoakRecord,
     Span,
@@ -63,6 +64,10 @@
 REFUSING_TIME: Seconds = 0.6
 #: Shortest hold-off that it asks for.
 MIN_HOLD_OFF: Seconds = 3.0
+#: Limits that a server names, in requests a second; half of it later.
+NAMED_LIMITS = (0.3, 1.0, 2.0)
+#: Multiple of the calls while a server names a limit.
+LIMITED_CALLS = 3.0
 _log = structlog.get_logger(__name__)
 
 _STORE_FAULTS = {
@@ -140,6 +145,7 @@
         self._tasks: list[asyncio.Task[Any]] = []
         self._busy: set[str] = set()
         self._sends_harmful = False
+        self._limited: set[str] = set()
         self._sessions: list[aiohttp.ClientSession] = []
         self._stack = contextlib.AsyncExitStack()
 
@@ -237,7 +243,8 @@
 
     async def _call_forever(self) -> None:
         for number in itertools.count():
-            await asyncio.sleep(self._rng.expovariate(1 / CALL_PERIOD))
+            rate = (LIMITED_CALLS if self._limited else 1.0) / CALL_PERIOD
+            await asyncio.sleep(self._rng.expovariate(rate))
             host = self._rng.choice(self._hosts)
             revoked = list(self.record.revoked)
             use_revoked = bool(revoked) and self._rng.random() < 0.2
@@ -329,6 +336,10 @@
                 server.service,
                 lambda: self._hold_off(server.service, duration),
             ),
+            SoakFault.SERVER_LIMITED: (
+                f"{server.name} limit",
+                lambda: self._name_limits(server, duration),
+            ),
             SoakFault.HARMFUL_PROMPTS: (
                 "prompts",
                 lambda: self._send_harmful(duration),
@@ -419,6 +430,21 @@
             server.retry_after = ""
         await asyncio.sleep(wanted)
 
+    async def _name_limits(self, server: _RecordingServer, duration: Seconds) -> None:
+        """Let a server name a limit, a lower one, and none, under more calls."""
+        rate = self._rng.choice(NAMED_LIMITS)
+        self._limited.add(server.name)
+        for named in (rate, rate / 2):
+            server.limit = f"{named:g}"
+            self._record_limit(server, named)
+            await asyncio.sleep(CONTACT_BOUND + duration)
+        server.limit = ""
+        self._record_limit(server, None)
+        self._limited.discard(server.name)
+
+    def _record_limit(self, server: _RecordingServer, rate: float | None) -> None:
+        self.record.limits.append(NamedLimit(server.name, rate, self._now()))
+
     async def _send_harmful(self, duration: Seconds) -> None:
         self._sends_harmful = True
         await asyncio.sleep(CONTACT_BOUND + duration)
--- a/src/amaranthferry/soak/schedule.py
+++ b/src/amaranthferry/soak/schedule.py
@@ -41,6 +41,7 @@
     SERVER_UNFRAMED = "server sends answers without a length"
     SERVER_SAYS_LEAVING = "server says in its answers that it leaves"
     SERVICE_HOLDS_OFF = "servers of a service want nothing for a time"
+    SERVER_LIMITED = "server names a limit that falls and ends"
     HARMFUL_PROMPTS = "prompts end servers"
     SERVER_REPLACED = "server replaced"
     KEY_REVOKED = "key revoked"
--- a/src/amaranthferry/standins/deployment.py
+++ b/src/amaranthferry/standins/deployment.py
@@ -58,6 +58,7 @@
     answered_attempt: str = ""
     complete: bool = False
     server_leaving: bool = False
+    server_limited: bool = False
     body: str = ""
     #: Whether the prompt has the part that ends servers.
     harmful: bool = False
@@ -204,6 +205,7 @@
                 "X-Amaranthferry-Attempt-Id", ""
             )
             record.server_leaving = answer.headers.get("Server-Leaving") == "1"
+            record.server_limited = "Server-Limit" in answer.headers
             record.body = (await answer.read()).decode("utf-8", "replace")
             record.complete = True
     except (aiohttp.ClientError, TimeoutError):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,6 +4,7 @@
     LEAVING_BOUND,
     Execution,
     Guarantee,
+    NamedLimit,
     Refusal,
     SoakRecord,
     Span,
@@ -271,3 +272,27 @@
 def test_prompt_that_is_refused_as_harmful(harmful, violated):
     calls = [call(status=400, signature="", harmful=harmful)]
     assert found(calls=calls) == ([Guarantee.SOUND_NOT_HELD] if violated else [])
+
+
+@pytest.mark.parametrize(
+    ("count", "told", "interrupted", "violated"),
+    [
+        (14, True, False, True),
+        (6, True, False, False),
+        (14, False, False, False),
+        (14, True, True, False),
+    ],
+)
+def test_limited_server_that_gets_too_much(count, told, interrupted, violated):
+    calls = [call(attempt="first", sent=1.0, ended=1.5, server_limited=told)]
+    calls += [call(attempt=f"a{n}", answered_attempt=f"a{n}") for n in range(count)]
+    arrivals = [Execution(f"a{n}", "engine-1", 20.0 + n * 0.1) for n in range(count)]
+    faults = [Span("host suspended: host-0", 19.0, 20.0)] if interrupted else []
+    record = SoakRecord(
+        calls=calls,
+        arrivals=arrivals,
+        limits=[NamedLimit("engine-1", 1.0, 1.0)],
+        faults=faults,
+    )
+    guarantees = [item.guarantee for item in check_guarantees(record)]
+    assert (Guarantee.LIMIT in guarantees) is violated
