Show limits in metrics and in the trace of a refused request

server_limit, its age, this host's share, what is left of it and what was used, by server; explain-request shows the limits that a host knew of when it refused a request for them.

Checked: tests of logs, telemetry, limit_check and control_limits.

--- a/src/amaranthferry/control_limits.py
+++ b/src/amaranthferry/control_limits.py
@@ -445,11 +445,7 @@
         worst = [server.judged.worst() for server in servers]
         worst_of_all = [server.judged_with_all.worst() for server in servers]
         began = self.case.limited_at + CONTACT_TIME
-        used = [
-            server.judged_with_all.count(began, self.now)
-            / ((server.rate or 1.0) * (self.now - began))
-            for server in self.servers[: len(self.case.limits)]
-        ]
+        used = [server.judged_with_all.used(began, self.now) for server in servers]
         return LimitResult(
             worst=max(worst, key=lambda window: window.excess),
             worst_of_all=max(worst_of_all, key=lambda window: window.excess),
--- a/src/amaranthferry/coordinator.py
+++ b/src/amaranthferry/coordinator.py
@@ -251,6 +251,10 @@
             return TurnOwners(Part.SHARE, self.recent_hosts | own, own)
         return ALL_TURNS
 
+    def limited_servers(self) -> list[ServerRecord]:
+        """Return the servers that name a limit."""
+        return list(self._limited)
+
     def rate_of(self, record: ServerRecord) -> float | None:
         """Return the requests a second that this decider may send to a server.
 
--- a/src/amaranthferry/gateway/telemetry.py
+++ b/src/amaranthferry/gateway/telemetry.py
@@ -6,6 +6,7 @@
 
 from bisect import bisect_left
 from collections.abc import Iterable
+from itertools import islice
 from typing import TYPE_CHECKING, Any
 
 from ..availability import count_servers, idle_slots, role_of
@@ -212,6 +213,7 @@
             (),
             {(): float(len(state.hold_offs))},
         ),
+        *_limit_gauges(state, now),
         (
             "prompt_parts",
             "Prompt parts that servers ended under, by what is believed of them.",
@@ -231,6 +233,51 @@
     ]
 
 
+def _limit_gauges(state: HostState, now: Seconds) -> list[Gauge]:
+    """Return the limits in force, and what this host's deciders may still send."""
+    known = dict(islice(state.server_rates.in_force(), MAX_LABEL_SETS))
+    deciders = (*state.coordinators.values(), *state.fallbacks.values())
+    limited = [
+        (decider, record, record.allowance)
+        for decider in deciders
+        for record in decider.limited_servers()
+        if record.allowance is not None
+    ][:MAX_LABEL_SETS]
+    labels: Labels = ("server",)
+    return [
+        (
+            "server_limit",
+            "Requests a second that a server takes from all hosts together.",
+            labels,
+            {(item.server,): limit.rate or 0.0 for item, limit in known.items()},
+        ),
+        (
+            "server_limit_age_seconds",
+            "Age of the last answer with the limit that this host knows of.",
+            labels,
+            {(item.server,): now - limit.seen_at for item, limit in known.items()},
+        ),
+        (
+            "server_limit_share",
+            "Requests a second that this host may grant to a limited server.",
+            labels,
+            {(r.cfg.name,): d.rate_of(r) or 0.0 for d, r, _ in limited},
+        ),
+        (
+            "server_limit_left",
+            "Requests that this host may grant to a limited server now.",
+            labels,
+            {(r.cfg.name,): float(a.available) for _, r, a in limited},
+        ),
+        (
+            "server_limit_used",
+            "Requests that this host has granted since the server named its limit.",
+            labels,
+            {(r.cfg.name,): float(a.used) for _, r, a in limited},
+        ),
+    ]
+
+
 def _coordinator_gauges(app: "Gateway") -> list[Gauge]:
     coordinators = {**app.state.coordinators, **app.state.fallbacks}
     records = [
--- a/src/amaranthferry/limit_check.py
+++ b/src/amaranthferry/limit_check.py
@@ -65,16 +65,23 @@
         if self._counts_untold or self._told.get(host, now) + TOLD_TIME <= now:
             self._arrivals.append((now, host))
 
-    def count(self, since: Seconds, until: Seconds) -> int:
-        """Return the counted arrivals in a span of time."""
+    def used(self, since: Seconds, until: Seconds) -> float:
+        """Return which part of what its limits allow the server got in a span of time."""
+        spans = [*self._limits, (until, None)]
+        allowed, arrivals = 0.0, 0
         times = [at for at, _ in self._arrivals]
-        return bisect_left(times, until) - bisect_left(times, since)
+        for (start, rate), (end, _) in pairwise(spans):
+            start = max(start, since)
+            if rate is not None and start < end:
+                allowed += rate * (end - start)
+                arrivals += bisect_left(times, end) - bisect_left(times, start)
+        return arrivals / allowed if allowed else 1.0
 
     def worst(self, *, contact: Seconds = CONTACT_TIME) -> Window:
         """Return the window with the most arrivals beyond the allowed ones."""
         first = next((at for at, rate in self._limits if rate is not None), 0.0)
         counted = [at for at, _ in self._arrivals if at >= first + contact]
-        windows = [Window(first, 0, float(EXTRA_ARRIVALS))]
+        windows = []
         for number, end in enumerate(counted):
             begin = end - WINDOW
             allowance = self._allowance(begin, end)
@@ -83,7 +90,8 @@
             arrivals = number + 1 - bisect_left(counted, begin)
             allowed = EXCESS_RATIO * allowance + EXTRA_ARRIVALS
             windows.append(Window(end, arrivals, allowed))
-        return max(windows, key=lambda window: window.excess)
+        none = Window(first, 0, float(EXTRA_ARRIVALS))
+        return max(windows, key=lambda window: window.excess, default=none)
 
     def _allowance(self, begin: Seconds, end: Seconds) -> float | None:
         """Return what the limits allow in a span; None if there were times without."""
--- a/src/amaranthferry/limits/turns.py
+++ b/src/amaranthferry/limits/turns.py
@@ -95,6 +95,8 @@
         self._interval = max(MIN_TURN, 1.0 / self.rate)
         self._hold = HOLD_TIME + HOLD_TURNS / self.rate
         self._turn = self._turn_at(now)
+        #: Requests that were sent since the limit was named.
+        self.used = 0
         #: The start of the turn that each unused request comes from.
         self._unused: deque[Seconds] = deque()
 
@@ -125,11 +127,13 @@
 
     def take(self) -> None:
         """Use one request."""
+        self.used += 1
         if self._unused:
             self._unused.popleft()
 
     def give_back(self, now: Seconds) -> None:
         """Return a request that was not sent; it may be used for a short while."""
+        self.used -= 1
         self._unused.append(now)
 
     def _turn_at(self, now: Seconds) -> int:
--- a/src/amaranthferry/request_trace.py
+++ b/src/amaranthferry/request_trace.py
@@ -22,6 +22,9 @@
 )
 #: Events of all hosts that tell why a request is refused for a part of its prompt.
 PART_EVENTS = ("part.suspected", "part.held", "part.cleared")
+#: Events that tell which limits a host knew of when it refused a request for them.
+LIMIT_EVENTS = ("server.limited", "server.limit_ended")
+LIMIT_REASON = "server_limit"
 _COMMON_FIELDS = frozenset(
     {"event", "level", "timestamp", "host", "request_id", "attempt"}
 )
@@ -62,38 +65,65 @@
                     yield line
 
 
+class _LatestLines:
+    """Keep the latest lines about hosts, servers, limits and prompt parts."""
+
+    def __init__(self) -> None:
+        self._lines: dict[tuple[str, str, str], Line] = {}
+
+    def record(self, line: Line) -> None:
+        """Keep a line that tells what a host knew."""
+        host, event = str(line.get("host", "")), str(line["event"])
+        server = str(line.get("server", ""))
+        if event in STATE_EVENTS:
+            self._lines[host, event, str(line.get("kind", ""))] = line
+        elif event in PART_EVENTS:
+            self._lines["", event, str(line.get("part", ""))] = line
+        elif event in LIMIT_EVENTS:
+            self._lines[host, "limit", server] = line
+        elif event.startswith("server."):
+            self._lines[host, "server", server] = line
+
+    def of_host(self, host: str) -> list[Line]:
+        """Return the state of a host."""
+        return [
+            line
+            for (item_host, event, _), line in self._lines.items()
+            if item_host == host and event in STATE_EVENTS
+        ]
+
+    def about(self, line: Line) -> list[Line]:
+        """Return what was known of the server, limits or part that a line names."""
+        host = str(line.get("host", ""))
+        refused = line.get("reason") == LIMIT_REASON
+        return [
+            known
+            for (item_host, kind, name), known in self._lines.items()
+            if (kind in PART_EVENTS and name == line.get("part"))
+            or (
+                item_host == host
+                and kind in ("server", "limit")
+                and (name == line.get("server") or (refused and kind == "limit"))
+            )
+        ]
+
+
 def build_trace(lines: Iterable[Line], request: str) -> list[Step]:
     """Return a request's lines in time order, with the state of its hosts."""
     ordered = sorted(lines, key=lambda line: str(line.get("timestamp", "")))
-    latest: dict[tuple[str, str, str], Line] = {}
+    latest = _LatestLines()
     seen_hosts: set[str] = set()
     steps: list[Step] = []
     for line in ordered:
+        if request not in (line.get("request_id"), line.get("attempt")):
+            latest.record(line)
+            continue
         host = str(line.get("host", ""))
-        if request in (line.get("request_id"), line.get("attempt")):
-            if host not in seen_hosts:
-                seen_hosts.add(host)
-                states = [
-                    item
-                    for (item_host, event, _), item in latest.items()
-                    if item_host == host and event in STATE_EVENTS
-                ]
-                steps += [_step(item, context=True) for item in states]
-            steps.append(_step(line))
-            server = latest.get((host, "server", str(line.get("server", ""))))
-            if server is not None and "server" in line:
-                steps.append(_step(server, context=True))
-            steps += [
-                _step(item, context=True)
-                for (_, event, part), item in latest.items()
-                if event in PART_EVENTS and part == line.get("part")
-            ]
-        elif line["event"] in STATE_EVENTS:
-            latest[host, str(line["event"]), str(line.get("kind", ""))] = line
-        elif line["event"] in PART_EVENTS:
-            latest["", str(line["event"]), str(line.get("part", ""))] = line
-        elif str(line["event"]).startswith("server."):
-            latest[host, "server", str(line.get("server", ""))] = line
+        if host not in seen_hosts:
+            seen_hosts.add(host)
+            steps += [_step(item, context=True) for item in latest.of_host(host)]
+        steps.append(_step(line))
+        steps += [_step(item, context=True) for item in latest.about(line)]
     return steps
 
 
--- a/tests/gateway/test_logs.py
+++ b/tests/gateway/test_logs.py
@@ -90,6 +90,25 @@
     assert steps[2].fields == {"version": 2}
 
 
+def test_request_trace_names_the_limits_that_a_request_was_refused_for():
+    limited = {"event": "server.limited", "host": "a", "rate": 1.0}
+    ended = {"event": "server.limit_ended", "host": "a"}
+    refused = {"event": "request.settled", "host": "a", "request_id": "r"}
+    lines = [
+        {"timestamp": "1", "server": "s1", **limited},
+        {"timestamp": "1", "server": "s2", **limited},
+        {"timestamp": "1", "server": "s3", **limited, "host": "b"},
+        {"timestamp": "2", "server": "s2", **ended},
+        {"timestamp": "3", "reason": "server_limit", **refused},
+    ]
+    steps = build_trace(lines, "r")
+    assert [(step.event, step.fields.get("server")) for step in steps] == [
+        ("request.settled", None),
+        ("server.limited", "s1"),
+        ("server.limit_ended", "s2"),
+    ]
+
+
 def test_request_trace_names_the_held_part_and_why_it_is_held():
     held = {"event": "part.held", "part": "bad", "ends": 3}
     other = {"event": "part.held", "part": "cc", "ends": 3}
--- a/tests/gateway/test_telemetry.py
+++ b/tests/gateway/test_telemetry.py
@@ -1,3 +1,5 @@
+import asyncio
+
 import aiohttp
 
 from amaranthferry.fallback import turn_away
@@ -82,3 +84,25 @@
     assert buckets["0.05"] == 3
     assert buckets["10"] == 3
     assert buckets["+Inf"] == 4
+
+
+async def test_metrics_show_a_limit_and_what_is_left_of_it():
+    async with fleet(hosts=2, ledgers=1) as (system, caller):
+        system.servers["ledger-0"].limit = "0.5"
+        await until(lambda: all(len(app.state.hosts) == 2 for app in system.hosts))
+        await caller.send("GET", "/look/x")
+        await until(lambda: all(app.state.server_rates for app in system.hosts))
+        await caller.send("GET", "/look/x", host=1, deadline=1.0)
+        texts = [await scrape(system, host) for host in (0, 1)]
+    labels = '{server="ledger-0"}'
+    for text in texts:
+        assert f"amaranthferry_server_limit{labels} 0.5" in text
+        assert f"amaranthferry_server_limit_age_seconds{labels} " in text
+    assert f"amaranthferry_server_limit_share{labels} 0.25" in texts[1]
+    assert f"amaranthferry_server_limit_left{labels} 0.0" in texts[1]
+
+
+async def until(condition):
+    async with asyncio.timeout(5):
+        while not condition():
+            await asyncio.sleep(0.02)
--- a/tests/test_limit_check.py
+++ b/tests/test_limit_check.py
@@ -48,3 +48,14 @@
     for _ in range(40):
         server.arrive("host-0", 12.0)
     assert server.worst().excess < 0
+
+
+def test_used_part_counts_only_while_a_limit_is_named():
+    server = LimitedServer(counts_untold=True)
+    for at in (1.0, 5.0, 6.0, 15.0, 16.0):
+        server.arrive("host-0", at)
+    server.name(0.5, 4.0)
+    server.name(None, 8.0)
+    server.name(0.25, 12.0)
+    assert server.used(0.0, 20.0) == pytest.approx(4 / 4)
+    assert server.used(0.0, 4.0) == 1.0
