--- a/src/amaranthferry/coordinator.py
+++ b/src/amaranthferry/coordinator.py
@@ -413,17 +413,15 @@
 
     def slots(self) -> float:
         """Return the slots that the servers that accept new work can keep busy."""
-        return sum(
-            self._busy_slots(record)
-            for record in self.servers.values()
-            if record.accepts_work
+        slots: float = sum(
+            record.slots for record in self.servers.values() if record.accepts_work
         )
-
-    def _busy_slots(self, record: ServerRecord) -> float:
-        rate = self.rate_of(record)
-        if rate is None:
-            return record.slots
-        return min(record.slots, rate * record.outcomes.service_time)
+        for record in self._limited:
+            rate = self.rate_of(record)
+            if record.accepts_work and rate is not None:
+                busy = rate * record.outcomes.service_time
+                slots -= max(0.0, record.slots - busy)
+        return slots
 
     def predicted_wait(self, rank: Rank, now: Seconds) -> Seconds:
         """Return the expected wait for the work that goes before a rank."""
--- a/tests/adapter/test_headers.py
+++ b/tests/adapter/test_headers.py
@@ -1,4 +1,6 @@
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from amaranthferry.platform import headers
 
@@ -166,3 +168,40 @@
 
 def test_answer_without_the_header_names_no_limit():
     assert headers.read_limit([("x", "1")]) == headers.NamedLimit()
+
+
+header_pairs = st.lists(
+    st.tuples(
+        st.sampled_from(
+            [headers.LIMIT, headers.LEAVING, headers.RETRY_AFTER, headers.SIGNATURE]
+        ),
+        st.text(max_size=30) | st.floats().map(str) | st.integers().map(str),
+    ),
+    max_size=6,
+)
+
+
+@given(header_pairs, st.sampled_from([200, 421, 500, 503]))
+def test_whatever_a_server_says_of_itself_is_read_or_left_out(pairs, status):
+    origin = headers.read_answer_origin(dict(pairs), status)
+    named = headers.read_limit(pairs)
+    for seconds in (named.rate, origin.hold_off):
+        assert seconds is None or 0.0 <= seconds < 1e16
+    limits = [value for name, value in pairs if name == headers.LIMIT]
+    assert (named == headers.NamedLimit()) is (not limits)
+
+
+@pytest.mark.parametrize(
+    ("status", "fields", "own"),
+    [
+        (200, {headers.SIGNATURE: "s", headers.ATTEMPT_ID: "a"}, True),
+        (200, {headers.ATTEMPT_ID: "a"}, False),
+        (200, {headers.SIGNATURE: "s", headers.ATTEMPT_ID: "b"}, False),
+        (503, {headers.NOT_EXECUTED: "1"}, True),
+        (500, {headers.ATTEMPT_ID: "a"}, True),
+        (421, {}, False),
+    ],
+)
+def test_word_of_a_stranger_at_an_address_is_told_apart(status, fields, own):
+    origin = headers.read_answer_origin(fields, status)
+    assert origin.is_of_server(call_attempt="a") is own
--- a/tests/test_server_signals.py
+++ b/tests/test_server_signals.py
@@ -2,7 +2,7 @@
 
 from amaranthferry import events
 from amaranthferry.leaving import MAX_LEAVING, LeavingServers, incarnation_of
-from amaranthferry.messages import LeavingNotice, ServerIncarnation
+from amaranthferry.messages import LeavingNotice, LimitNotice, ServerIncarnation
 from amaranthferry.types import ServerSignal, ServerState
 
 from .reducer_fleet import ENGINES, LEDGER, ReducerFleet, instance, replaced
@@ -372,3 +372,97 @@
     kinds = [signal.signal for _, signal in system.signals]
     assert kinds == [ServerSignal.HELD_OFF, ServerSignal.HOLD_OFF_ENDED]
     assert system.hosts["host-0"].hold_offs == {}
+
+
+def name_limit(system, rate, *, server="s-0", host="host-0", sent_before=0.0):
+    incarnation = incarnation_of(system.hosts[host].deployment, server)
+    seen = events.ServerLimitSeen(
+        now=system.now,
+        incarnation=incarnation,
+        rate=rate,
+        sent_at=system.now - sent_before,
+    )
+    system.apply(host, seen)
+
+
+def limits_known(system):
+    return [
+        [limit.rate for _, limit in state.server_rates.in_force()]
+        for state in system.hosts.values()
+    ]
+
+
+@pytest.mark.parametrize("pool", POOLS)
+def test_limit_and_its_end_reach_every_host_once(pool):
+    system = fleet(pool, hosts=40)
+    name_limit(system, 1.0)
+    name_limit(system, 1.0, host="host-7")
+    assert limits_known(system) == [[1.0]] * 40
+    system.now += 2.0
+    name_limit(system, None)
+    assert limits_known(system) == [[]] * 40
+    kinds = [signal.signal for _, signal in system.signals]
+    assert kinds == [ServerSignal.LIMITED] * 40 + [ServerSignal.LIMIT_ENDED] * 40
+
+
+def test_coordinator_that_has_not_heard_of_a_limit_learns_it_from_a_registration():
+    system = fleet(hosts=3)
+    shard = next(iter(system.hosts.values())).shards_of(ENGINES)[0]
+    coordinator = system.hosts["host-0"].coordinator_of(shard)
+    other = next(host for host in system.hosts if host != coordinator)
+    system.lost_messages = LimitNotice
+    name_limit(system, 1.0, host=other)
+    assert not system.hosts[coordinator].server_rates
+    system.service_time = 6.0
+    system.send(other)
+    system.advance(6.0)
+    assert system.hosts[coordinator].server_rates
+
+
+def test_host_with_an_older_word_is_corrected():
+    system = fleet(hosts=3)
+    name_limit(system, 1.0)
+    system.lost_messages = LimitNotice
+    system.now += 1.0
+    name_limit(system, 1.0, host="host-1")
+    name_limit(system, 0.5, host="host-1")
+    system.lost_messages = ()
+    system.now += 1.0
+    # Sent before the lower limit was named, so it ends only the one that host-0 knows.
+    name_limit(system, None, sent_before=1.2)
+    system.advance(2.0)
+    assert limits_known(system) == [[0.5]] * 3
+
+
+def test_requests_beyond_all_limits_are_told_when_to_return():
+    system = fleet()
+    for server in ("s-0", "s-1"):
+        name_limit(system, 0.5, server=server)
+    requests = [system.send("host-0", timeout=4.0) for _ in range(12)]
+    system.advance(0.1)
+    refused = [system.settled[name] for name in requests if name in system.settled]
+    assert {item.reason for item in refused} == {"server_limit"}
+    times = [item.retry_after for item in refused]
+    assert times == sorted(times)
+    assert times[0] >= 0.5 and times[-1] <= 0.32 * 4.0
+
+
+def test_limited_server_that_starts_again_has_no_limit():
+    system = fleet()
+    name_limit(system, 0.1)
+    first, second = two_servers()
+    system.list_servers([replaced(first, incarnation=2), second])
+    assert send_everywhere(system, ENGINES) == {"s-0", "s-1"}
+
+
+def test_urgent_work_gets_the_places_of_limited_servers():
+    system = fleet()
+    for server in ("s-0", "s-1"):
+        name_limit(system, 1.0, server=server)
+    order = []
+    system.on_dispatch = lambda host, effect: order.append(effect.request_id) or []
+    low = [system.send("host-0", rank=2) for _ in range(3)]
+    urgent = [system.send("host-1", rank=0) for _ in range(2)]
+    system.advance(4.0)
+    assert order[:2] == urgent
+    assert set(order[2:]) <= set(low)
