Tell hosts that join of the limits in force

A host that had just started knew of no limit until the first answer of that server, so at plain services each restarted host sent a server in need what it would send to a sound one. Of the hosts that see another one join, one tells it, chosen by hash: one message a limit and host. test_host_that_joins_is_told_of_limits_by_one_other failed before (known by 5 of 6 hosts).

--- a/src/amaranthferry/server_signals.py
+++ b/src/amaranthferry/server_signals.py
@@ -1,5 +1,7 @@
 """Apply what servers say of themselves in their answers."""
 
+from collections.abc import Collection
+
 from .deploying import apply_deployment
 from .effects import Effect, ReportSignal, SendToHost
 from .events import (
@@ -11,6 +13,7 @@
 from .fan_out import children
 from .hold_off import spread_end
 from .limits.server_rates import ServerRate
+from .limits.turns import owner_of
 from .messages import LeavingNotice, LimitNotice, LimitWord, ServerIncarnation
 from .reducer import apply_event, receive_message
 from .state import HostState
@@ -126,6 +129,20 @@
     return effects
 
 
+def teach_limits(state: HostState, added: Collection[HostId]) -> list[Effect]:
+    """Tell hosts that have joined of the limits in force; one host tells each."""
+    teachers = set(state.hosts).difference(added)
+    limits = list(state.server_rates.in_force())
+    if not limits or state.host not in teachers:
+        return []
+    return [
+        SendToHost(host=host, message=LimitNotice(known.word(incarnation, state.now)))
+        for host in sorted(added)
+        if owner_of(f"joined {host}", 0, teachers) == state.host
+        for incarnation, known in limits
+    ]
+
+
 def _learn_limit(
     state: HostState,
     incarnation: ServerIncarnation,
--- a/tests/test_server_signals.py
+++ b/tests/test_server_signals.py
@@ -466,3 +466,19 @@
     system.advance(4.0)
     assert order[:2] == urgent
     assert set(order[2:]) <= set(low)
+
+
+def test_host_that_joins_is_told_of_limits_by_one_other():
+    system = fleet(hosts=6)
+    everyone = tuple(system.hosts)
+    name_limit(system, 1.0)
+    rest = tuple(host for host in everyone if host != "host-4")
+    for host in rest:
+        system.apply(host, events.MembersChanged(now=system.now, hosts=rest))
+    system.restart("host-4")
+    assert not system.hosts["host-4"].server_rates
+    system.signals.clear()
+    for host in everyone:
+        system.apply(host, events.MembersChanged(now=system.now, hosts=everyone))
+    assert limits_known(system) == [[1.0]] * 6
+    assert [host for host, _ in system.signals] == ["host-4"]
