--- a/src/amaranthferry/control_limits.py
+++ b/src/amaranthferry/control_limits.py
@@ -185,8 +185,8 @@
         #: Hosts whose messages to others are lost, and those that get none.
         self._mute: set[HostId] = set()
         self._deaf: set[HostId] = set()
-        self._sent = 0
-        self._served = 0
+        self._sent_at: dict[RequestId, Seconds] = {}
+        self._served: set[RequestId] = set()
         self.notices = 0
         self.messages = 0
         for name in self.names:
@@ -339,7 +339,7 @@
         finished = DispatchFinished(
             now=self.now, request_id=request_id, output_tokens=20
         )
-        self._served += 1
+        self._served.add(request_id)
         left = 0.0 if self.case.plain else ANSWER_TIME
         self.at(self.now + left, lambda: self.apply(host, finished))
 
@@ -420,10 +420,11 @@
         ready = [
             name for name in self.hosts if self._frozen_until.get(name, 0.0) <= self.now
         ]
-        self._sent += 1
+        request_id = RequestId(f"r-{len(self._sent_at)}")
+        self._sent_at[request_id] = self.now
         arrived = RequestArrived(
             now=self.now,
-            request_id=RequestId(f"r-{self._sent}"),
+            request_id=request_id,
             workspace=WorkspaceId(""),
             tier=TierId("1"),
             work_class=ClassId("cancelled-1"),
@@ -439,6 +440,11 @@
         self.apply(self.rng.choice(ready), arrived)
         self.at(self.now + self.rng.expovariate(self.case.rate), self._send_next)
 
+    def served(self, since: Seconds, until: Seconds) -> float:
+        """Return the share of the requests sent in a span of time that were answered."""
+        sent = [name for name, at in self._sent_at.items() if since <= at < until]
+        return sum(name in self._served for name in sent) / max(1, len(sent))
+
     def result(self) -> LimitResult:
         """Return the outcome so far."""
         servers = [s for s in (*self.servers, *self.past_servers) if s.judged.limited]
@@ -450,7 +456,7 @@
             worst=max(worst, key=lambda window: window.excess),
             worst_of_all=max(worst_of_all, key=lambda window: window.excess),
             used=min(used, default=0.0),
-            served=self._served / self._sent,
+            served=self.served(0.0, self.now),
             notices=self.notices,
             messages=self.messages,
         )
--- a/tests/test_control_limits.py
+++ b/tests/test_control_limits.py
@@ -90,6 +90,17 @@
     assert limited_hosts(fleet) == 0
 
 
+@pytest.mark.parametrize("plain", [False, True])
+def test_all_is_served_again_two_seconds_after_all_limits_end(plain):
+    ended = tuple(Incident(10.0, Trouble.END_LIMIT, target=n) for n in range(6))
+    limits = (2.0,) * 6
+    case = LimitCase(hosts=8, plain=plain, rate=60.0, limits=limits, incidents=ended)
+    fleet = LimitFleet(case)
+    fleet.run_until(18.0)
+    assert 0.7 * 12 / 60 <= fleet.served(5.0, 9.0) <= 1.5 * 12 / 60
+    assert fleet.served(12.0, 16.0) == 1.0
+
+
 def limited_hosts(fleet):
     """Return the hosts that know of a limit of the first server."""
     return sum(
