Don't take an unsigned refusal for the end of a limit

A server in need that refuses with 503 and no signature, or something in front of it that fails, ended its limit for the whole fleet until the next answer named it again: all hosts sent at full speed meanwhile. Seen in a test of our own that failed before: after one refusal by a limited server no limit was in force. Only a signed answer without the header ends a limit now; a server that takes requests again signs its answers.

--- a/src/amaranthferry/gateway/dispatching.py
+++ b/src/amaranthferry/gateway/dispatching.py
@@ -300,7 +300,7 @@
         origin = headers.read_answer_origin(start.fields(), start.status)
         self.limit = headers.read_limit(start.headers)
         if origin.is_of_server(call_attempt=self._call.params.attempt):
-            self._report_limit()
+            self._report_limit(signed=origin.signed)
         if origin.leaving:
             self._report(
                 ServerLeavingSeen(now=self._clock(), incarnation=self._incarnation)
@@ -334,10 +334,15 @@
             return await self._relay_stream(conn, start)
         return await self._relay_buffered(conn, start)
 
-    def _report_limit(self) -> None:
-        """Report the limit that the server names, or that it names none any more."""
+    def _report_limit(self, *, signed: bool) -> None:
+        """Report the limit that the server names, or that it names none any more.
+
+        A refusal or failure without a signature may come from in front of the server,
+        so it ends no limit.
+        """
         rate = self.limit.rate
-        if self.limit.unreadable is None and (rate is not None or self._is_limited()):
+        ended = self.limit == headers.NamedLimit() and signed and self._is_limited()
+        if rate is not None or ended:
             self._report(
                 ServerLimitSeen(
                     now=self._clock(),
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -7,6 +7,7 @@
 import pytest
 
 from amaranthferry.limit_check import LimitedServer
+from amaranthferry.standins.routed import ServerFault
 
 from .fleet import fleet
 
@@ -71,6 +72,21 @@
         yield Load(system, caller, service)
 
 
+async def test_refusal_without_signature_does_not_end_a_limit():
+    async with fleet(ledgers=1) as (system, caller):
+        ledger, state = system.servers["ledger-0"], system.hosts[0].state
+        ledger.limit = "2"
+        assert (await caller.send("GET", "/look/x"))[1] == 200
+        ledger.limit, ledger.fault = "", ServerFault.FULL
+        while not ledger.refused:
+            await caller.send("GET", "/look/x")
+        assert list(state.server_rates.in_force())
+        ledger.fault = ServerFault.NONE
+        async with asyncio.timeout(10):
+            while list(state.server_rates.in_force()):
+                await caller.send("GET", "/look/x")
+
+
 def names(service, *numbers):
     return [f"{service.removesuffix('s')}-{number}" for number in numbers]
 
