Keep arrivals by time alone where limits are judged

The host decides whether an arrival counts and isn't needed afterwards. No result changes: tests of limit_check, control_limits and the soak's checks.

--- a/src/amaranthferry/limit_check.py
+++ b/src/amaranthferry/limit_check.py
@@ -41,7 +41,7 @@
         self._counts_untold = counts_untold
         self._limits: list[tuple[Seconds, float | None]] = []
         self._told: dict[HostId, Seconds] = {}
-        self._arrivals: list[tuple[Seconds, HostId]] = []
+        self._arrivals: list[Seconds] = []
 
     @property
     def limited(self) -> bool:
@@ -63,24 +63,24 @@
     def arrive(self, host: HostId, now: Seconds) -> None:
         """Record a request; it counts if the host has known of a limit for a while."""
         if self._counts_untold or self._told.get(host, now) + TOLD_TIME <= now:
-            self._arrivals.append((now, host))
+            self._arrivals.append(now)
 
     def used(self, since: Seconds, until: Seconds) -> float:
         """Return which part of what its limits allow the server got in a span of time."""
         spans = [*self._limits, (until, None)]
         allowed, arrivals = 0.0, 0
-        times = [at for at, _ in self._arrivals]
         for (start, rate), (end, _) in pairwise(spans):
             start = max(start, since)
             if rate is not None and start < end:
                 allowed += rate * (end - start)
-                arrivals += bisect_left(times, end) - bisect_left(times, start)
+                first = bisect_left(self._arrivals, start)
+                arrivals += bisect_left(self._arrivals, end) - first
         return arrivals / allowed if allowed else 1.0
 
     def worst(self, *, contact: Seconds = CONTACT_TIME) -> Window:
         """Return the window with the most arrivals beyond the allowed ones."""
         first = next((at for at, rate in self._limits if rate is not None), 0.0)
-        counted = [at for at, _ in self._arrivals if at >= first + contact]
+        counted = self._arrivals[bisect_left(self._arrivals, first + contact) :]
         windows = []
         for number, end in enumerate(counted):
             begin = end - WINDOW
