--- a/src/amaranthferry/coordination.py
+++ b/src/amaranthferry/coordination.py
@@ -39,7 +39,7 @@
     register_requests,
     replay_server_reports,
 )
-from .server_signals import end_hold_offs, learn_limits, teach_limits, tell_limits
+from .server_signals import end_hold_offs, learn_limits, tell_joined_hosts, tell_limits
 from .shards import pool_of
 from .slot_shares import SlotShares
 from .state import HostState
@@ -197,7 +197,7 @@
     state.replace_hosts(hosts, draining, capacities)
     after = state.coordinator_hosts()
     _move_roles(state, after)
-    effects = ask_others(state) + teach_limits(state, added)
+    effects = ask_others(state) + tell_joined_hosts(state, added)
     changed = MembersChanged(now=state.now, hosts=hosts, draining=draining)
     for coordinator in state.coordinators.values():
         effects += coordinator_reducer.reduce(coordinator, changed)
--- a/src/amaranthferry/server_signals.py
+++ b/src/amaranthferry/server_signals.py
@@ -129,16 +129,16 @@
     return effects
 
 
-def teach_limits(state: HostState, added: Collection[HostId]) -> list[Effect]:
+def tell_joined_hosts(state: HostState, added: Collection[HostId]) -> list[Effect]:
     """Tell hosts that have joined of the limits in force; one host tells each."""
-    teachers = set(state.hosts).difference(added)
+    others = set(state.hosts).difference(added)
     limits = list(state.server_rates.in_force())
-    if not limits or state.host not in teachers:
+    if not limits or state.host not in others:
         return []
     return [
         SendToHost(host=host, message=LimitNotice(known.word(incarnation, state.now)))
         for host in sorted(added)
-        if owner_of(f"joined {host}", 0, teachers) == state.host
+        if owner_of(f"joined {host}", 0, others) == state.host
         for incarnation, known in limits
     ]
 
--- a/tests/adapter/test_headers.py
+++ b/tests/adapter/test_headers.py
@@ -202,6 +202,6 @@
         (421, {}, False),
     ],
 )
-def test_word_of_a_stranger_at_an_address_is_told_apart(status, fields, own):
+def test_answer_of_another_server_at_the_address_is_told_apart(status, fields, own):
     origin = headers.read_answer_origin(fields, status)
     assert origin.is_of_server(call_attempt="a") is own
