--- a/src/amaranthferry/control_limits.py
+++ b/src/amaranthferry/control_limits.py
@@ -90,12 +90,15 @@
     Trouble.FREEZE_COORDINATOR,
     Trouble.CUT_COORDINATOR,
 }
+#: Factor by which limits rise and fall, and limits of servers that named none before.
+CHANGE_FACTOR = 4.0
+FIRST_LIMIT = 1.0
 #: The limit that a server names from the change on, by the one that it named.
 _LIMIT_CHANGES: dict[Trouble, Callable[[float | None], float | None]] = {
-    Trouble.LOWER: lambda rate: (rate or 4.0) / 4,
-    Trouble.RAISE: lambda rate: (rate or 1.0) * 4,
+    Trouble.LOWER: lambda rate: (rate or CHANGE_FACTOR) / CHANGE_FACTOR,
+    Trouble.RAISE: lambda rate: (rate or FIRST_LIMIT) * CHANGE_FACTOR,
     Trouble.END_LIMIT: lambda rate: None,
-    Trouble.NAME_LIMIT: lambda rate: 1.0,
+    Trouble.NAME_LIMIT: lambda rate: FIRST_LIMIT,
 }
 
 
@@ -409,7 +412,7 @@
         self.past_servers.append(server)
         server.name_limit(None, self.now)
         new = self._start_server(server.name)
-        new.name_limit(1.0, self.now)
+        new.name_limit(FIRST_LIMIT, self.now)
         deployment = self._deployment()
         for name in tuple(self.hosts):
             self.apply(name, SettingsApplied(now=self.now, deployment=deployment))
--- a/src/amaranthferry/limits/turns.py
+++ b/src/amaranthferry/limits/turns.py
@@ -17,8 +17,8 @@
 
 from ..types import HostId, Seconds
 
-#: Lowest rate that is kept; a server that takes less is still asked whether it takes
-#: more again.
+#: Lowest rate that is kept, in requests a second; a server that takes less is still
+#: asked whether it takes more again.
 MIN_RATE = 0.1
 #: Length of a turn at rates that allow several requests in it.
 MIN_TURN: Seconds = 0.1
--- a/src/amaranthferry/platform/headers.py
+++ b/src/amaranthferry/platform/headers.py
@@ -52,6 +52,8 @@
     {"connection", "keep-alive", "transfer-encoding", "trailer", "upgrade"}
 )
 _HASH_BITS = 64
+_MISDIRECTED_STATUS = 421
+_MIN_FAILURE_STATUS = 300
 _SECONDS = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?", re.ASCII)
 _RATE = re.compile(r"[0-9]{1,9}(\.[0-9]{1,30})?", re.ASCII)
 
@@ -203,9 +205,9 @@
     return AnswerOrigin(
         attempt=headers.get(ATTEMPT_ID, ""),
         signed=SIGNATURE in headers,
-        not_executed=NOT_EXECUTED in headers or status == 421,
+        not_executed=NOT_EXECUTED in headers or status == _MISDIRECTED_STATUS,
         leaving=headers.get(LEAVING, "").strip() == "1",
         hold_off=_hold_off(headers) if status == 503 else None,
-        misdirected=status == 421,
-        failed=status >= 300,
+        misdirected=status == _MISDIRECTED_STATUS,
+        failed=status >= _MIN_FAILURE_STATUS,
     )
