Log the digest of a request under which its connection broke

The digest is seeded with the hosts' shared key: all hosts agree on it, and it shows nothing of a body.

--- a/src/amaranthferry/gateway/dispatching.py
+++ b/src/amaranthferry/gateway/dispatching.py
@@ -31,7 +31,16 @@
 )
 from ..messages import ServerIncarnation
 from ..platform import headers
-from ..types import Decider, PoolId, RequestId, Seconds, ServerId, Tokens, WorkspaceId
+from ..types import (
+    Decider,
+    PoolId,
+    RequestDigest,
+    RequestId,
+    Seconds,
+    ServerId,
+    Tokens,
+    WorkspaceId,
+)
 from .exchange import RoutedExchange
 from .log_events import LogEvent
 from .sse import EventReader
@@ -77,6 +86,7 @@
     arrived: Seconds
     deadline: Seconds
     event_tokens: Tokens = 1
+    digest: RequestDigest = RequestDigest(0)
 
     @property
     def streaming(self) -> bool:
@@ -165,9 +175,14 @@
         }
 
     def _break_details(self) -> dict[str, object]:
-        """Return what tells whether a prompt may have ended the server."""
+        """Return what tells whether a request or a prompt may have ended the server."""
         started = self._started_at
         return {
+            "route": self._call.route.name,
+            "service": self.service,
+            "workspace": self._call.workspace,
+            "digest": f"{self._call.digest:x}",
+            "ran_for": self._age(self._sent_at),
             "answering_for": None if started is None else self._age(started),
             "parts": [f"{part.hash:x}" for part in self._call.params.parts],
         }
--- a/src/amaranthferry/gateway/edge.py
+++ b/src/amaranthferry/gateway/edge.py
@@ -17,6 +17,7 @@
 )
 from ..events import RequestArrived
 from ..exceptions import RequestError
+from ..harm.digest import digest_request
 from ..http_connection import AnswerStart
 from ..platform import headers
 from ..problems import Problem
@@ -145,13 +146,15 @@
             raise _not_ready_error("The route's service is not configured.")
         body = await read_body(_chunks(receive), route_table.catalog.limits.max_body)
         limit = route.timeout or DEFAULT_TIMEOUT
+        workspace = subscriber.workspace if subscriber else ANONYMOUS
+        target = _target(scope)
         call = RoutedCall(
             request_id=self._app.new_request_id(params.attempt),
             route=route,
-            workspace=subscriber.workspace if subscriber else ANONYMOUS,
+            workspace=workspace,
             params=params,
             method=scope["method"],
-            target=_target(scope),
+            target=target,
             headers=tuple(received),
             body=body,
             arrived=arrived,
@@ -159,6 +162,14 @@
             event_tokens=routed_service.engine.event_tokens
             if routed_service.engine
             else 1,
+            digest=digest_request(
+                method=scope["method"],
+                host=fields.get("host", ""),
+                target=target,
+                workspace=workspace,
+                body=body,
+                key=self._app.peer_key,
+            ),
         )
         engine = routed_service.engine
         models = engine.models if engine else ()
--- a/src/amaranthferry/gateway/log_events.py
+++ b/src/amaranthferry/gateway/log_events.py
@@ -91,7 +91,7 @@
     DISPATCH_NOT_RUN = "dispatch.not_run"
     DISPATCH_FAILED = "dispatch.failed"  # request_id, server, status
     # request_id, server, problem, process, framing, closed_by_peer, partial_event,
-    # server_limit, answering_for, parts
+    # server_limit, route, service, workspace, digest, ran_for, answering_for, parts
     DISPATCH_BROKEN = "dispatch.broken"
     PERMIT_GRANTED = "permit.granted"  # request_id, asker, server, waited, queue
     # request_id, shard, coordinator, server, reason, age
--- /dev/null
+++ b/src/amaranthferry/harm/digest.py
@@ -0,0 +1,28 @@
+"""Identify requests that are the same to a server."""
+
+import xxhash
+
+from ..types import RequestDigest, WorkspaceId
+
+
+def digest_request(
+    *,
+    method: str,
+    host: str,
+    target: str,
+    workspace: WorkspaceId,
+    body: bytes,
+    key: str,
+) -> RequestDigest:
+    """Return a digest that is equal for equal requests of one workspace.
+
+    Hosts with the same key agree on it. The digest never is 0, which stands for an
+    unknown one.
+    """
+    digest = xxhash.xxh3_64(seed=xxhash.xxh3_64_intdigest(key.encode()))
+    # The length of the head keeps head and body apart.
+    head = "\n".join((method, host.lower(), target, workspace)).encode()
+    digest.update(len(head).to_bytes(4))
+    digest.update(head)
+    digest.update(body)
+    return RequestDigest(digest.intdigest() or 1)
--- a/src/amaranthferry/types.py
+++ b/src/amaranthferry/types.py
@@ -14,6 +14,8 @@
 ClassId = NewType("ClassId", str)
 ServiceId = NewType("ServiceId", str)
 RequestId = NewType("RequestId", str)
+#: What a request is to a server: equal for equal requests of one workspace; 0 if unknown.
+RequestDigest = NewType("RequestDigest", int)
 SettingsVersion = NewType("SettingsVersion", int)
 StoreEra = NewType("StoreEra", int)
 Seconds = float
--- a/tests/gateway/test_application.py
+++ b/tests/gateway/test_application.py
@@ -395,7 +395,9 @@
     (line,) = [line.kwargs for line in log.calls if line.args == ("dispatch.broken",)]
     assert line["process"] == process
     assert line["parts"] == ["aa", "bad", "f1"]
-    assert 0 <= line["answering_for"] < 1
+    assert 0 <= line["answering_for"] <= line["ran_for"] < 1
+    assert (line["route"], line["service"]) == ("review", "engines")
+    assert (line["workspace"], len(line["digest"])) == ("field", 16)
     assert counts == {("review", process): 1}
 
 
