--- a/src/amaranthferry/standins/restarting.py
+++ b/src/amaranthferry/standins/restarting.py
@@ -6,7 +6,7 @@
 from contextlib import AsyncExitStack
 
 from ..types import Seconds
-from .routed import RoutedServer
+from .routed import ReceivedRequest, RoutedServer
 from .serving import serve
 
 
@@ -23,6 +23,7 @@
         *,
         restart_after: Seconds = 0.5,
         harmful_parts: frozenset[str] = frozenset(),
+        ends_under: Callable[[ReceivedRequest], bool] | None = None,
     ) -> None:
         self._name = name
         self._on_start = on_start
@@ -32,7 +33,8 @@
         self._port = 0
         self.address = ""
         self._harmful_parts = harmful_parts
-        #: Called when a prompt with a harmful part reaches the server.
+        self._ends_under = ends_under
+        #: Called when a request that ends the process reaches the server.
         self.on_harmful: Callable[[], None] = lambda: None
         self.incarnations: list[RoutedServer] = []
         #: Times of the event loop at which the process ended.
@@ -42,6 +44,8 @@
         """Start the next incarnation."""
         server = RoutedServer(f"{self._name}-{len(self.incarnations)}")
         server.harmful_parts = self._harmful_parts
+        if self._ends_under is not None:
+            server.ends_under = self._ends_under
         server.on_harmful = lambda: self.on_harmful()
         server.on_crash = lambda: self.crash(server)
         self._stack = AsyncExitStack()
--- a/src/amaranthferry/standins/routed.py
+++ b/src/amaranthferry/standins/routed.py
@@ -75,6 +75,9 @@
         self.limit = ""
         #: Hashes of prompt parts that end the process once an answer begins on them.
         self.harmful_parts: frozenset[str] = frozenset()
+        #: Whether a request ends the process while it runs, and after which time.
+        self.ends_under: Callable[[ReceivedRequest], bool] = lambda request: False
+        self.crash_delay: Seconds = 0.05
         self.on_harmful: Callable[[], None] = lambda: None
         self.on_crash: Callable[[], None] = lambda: None
         self.executed: list[ReceivedRequest] = []
@@ -116,11 +119,15 @@
         target = path + (f"?{request.url.query}" if request.url.query else "")
         body = await request.body()
         self.on_execution(attempt)
-        self.executed.append(
-            ReceivedRequest(
-                attempt, request.method, target, dict(request.headers), body
-            )
+        received = ReceivedRequest(
+            attempt, request.method, target, dict(request.headers), body
         )
+        self.executed.append(received)
+        if self.ends_under(received):
+            self.on_harmful()
+            await asyncio.sleep(self.crash_delay)
+            self.on_crash()
+            await asyncio.sleep(HANG_DURATION)
         try:
             await asyncio.sleep(
                 HANG_DURATION
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -147,18 +147,22 @@
 
     async def add_restarting_engine(self, name, **options):
         """Add an engine that is listed again under a new name after each crash."""
+        return await self.add_restarting_server("engines", name, **options)
+
+    async def add_restarting_server(self, service, name, **options):
+        """Add a server that is listed again under a new name after each crash."""
 
         async def list_server(server):
-            for past in engine.incarnations[:-1]:
+            for past in running.incarnations[:-1]:
                 await self.store.remove("servers", past.name)
             self.servers[server.name] = server
-            listed = entry("engines", engine.address)
+            listed = entry(service, running.address)
             await self.store.put("servers", server.name, listed)
 
-        engine = RestartingServer(name, list_server, **options)
-        await engine.start()
-        self._stack.push_async_callback(engine.stop)
-        return engine
+        running = RestartingServer(name, list_server, **options)
+        await running.start()
+        self._stack.push_async_callback(running.stop)
+        return running
 
     async def add_host(self, name, **bounds):
         addresses = [free_address() for _ in range(4)]
