--- a/src/amaranthferry/harm/verdicts.py
+++ b/src/amaranthferry/harm/verdicts.py
@@ -49,7 +49,9 @@
     suspects: dict[ServerIncarnation, set[SubjectId]]
     #: All ends under known requests, also of those that have been acquitted.
     ends: set[ServerIncarnation]
-    #: The ends that held parts account for.
+    #: The ends that held subjects account for.
+    explained: set[ServerIncarnation] = set()
+    #: Those of them that held parts account for.
     by_parts: set[ServerIncarnation] = set()
     #: The held requests that account for ends.
     by_requests: dict[ServerIncarnation, RequestDigest] = {}
@@ -67,18 +69,15 @@
 
     def close(self, subject: SubjectId, ends: Ends) -> None:
         """Explain ends by a held subject."""
+        self.explained.update(ends)
         if subject.kind is SubjectKind.REQUEST:
             self.by_requests |= dict.fromkeys(ends, RequestDigest(subject.hash))
         else:
             self.by_parts.update(ends)
 
-    def explained(self) -> set[ServerIncarnation]:
-        """Return the ends that held subjects account for."""
-        return self.by_parts | self.by_requests.keys()
-
     def unrelated(self, record: Record) -> int:
         """Return how many servers ended under other requests only, for no known cause."""
-        return len(self.ends - record.ends.keys() - self.explained())
+        return len(self.ends - record.ends.keys() - self.explained)
 
 
 class Verdicts(msgspec.Struct):
@@ -134,7 +133,7 @@
 
 @_explained_for.register
 def _(record: RequestEvidence, case: _Case) -> set[ServerIncarnation]:
-    return case.explained()
+    return case.explained
 
 
 @_explained_for.register
@@ -144,7 +143,7 @@
     A part of several requests that ended servers may be the cause in each of them.
     """
     if len(record.sources()) < MIN_REQUESTS:
-        return case.explained()
+        return case.explained
     explained = set(case.by_parts)
     for incarnation, digest in case.by_requests.items():
         end = record.ends.get(incarnation)
@@ -194,10 +193,10 @@
         for incarnation, end in ends.items()
         if len(case.suspects[incarnation]) == 1 and end.ran_for <= SHORT_RUN
     ]
+    if count_runs(sole) < HOLD_AFTER_SOLE_ENDS:
+        return SUSPECTED
     # Where servers end for other reasons too, two ends may be a coincidence.
-    if case.unrelated(record) <= MAX_UNRELATED_ENDS:
-        return HELD if count_runs(sole) >= HOLD_AFTER_SOLE_ENDS else SUSPECTED
-    return SUSPECTED
+    return HELD if case.unrelated(record) <= MAX_UNRELATED_ENDS else SUSPECTED
 
 
 def _inseparable(
