--- a/src/amaranthferry/cli_control.py
+++ b/src/amaranthferry/cli_control.py
@@ -16,7 +16,7 @@
 from .control_overload import LARGE_HOSTS, Disruption, OverloadCase, format_overload
 from .control_settings import measure_settings
 from .control_shards import measure_coordinator, measure_lookup, request_bytes
-from .harm.simulation import HarmCase, format_harm
+from .harm.simulation import SLOTS, HarmCase, format_harm
 from .slopes import Series, format_series, resident_bytes
 
 #: Smallest simulated fleet: its servers and its requests per second.
@@ -65,14 +65,25 @@
     delay: Annotated[list[float], typer.Option()] = [0.001],  # noqa: B006
     loss: Annotated[list[float], typer.Option()] = [0.0],  # noqa: B006
     other_ends: Annotated[list[float], typer.Option()] = [0.0],  # noqa: B006
+    whole: Annotated[bool, typer.Option(help="One request, not a part.")] = False,
+    plain: Annotated[bool, typer.Option(help="Plain services, not engines.")] = False,
+    repeated: Annotated[
+        float, typer.Option(help="Part of the sound requests that come again.")
+    ] = 0.0,
+    slots: Annotated[int, typer.Option(min=1)] = SLOTS,
+    servers: Annotated[int, typer.Option(help="0: in proportion to the hosts.")] = 0,
     seeds: Annotated[int, typer.Option(min=1)] = 4,
 ) -> None:
-    """Simulate prompts that end servers, for all combinations of the given values."""
+    """Simulate what ends servers, for all combinations of the given values."""
     cases = [
         HarmCase(
             hosts=count,
-            servers=max(MIN_SERVERS, count // 3),
+            servers=servers or max(MIN_SERVERS, count // 3),
             rate=max(MIN_RATE, 1.5 * count),
+            whole=whole or plain,
+            plain=plain,
+            repeated=repeated,
+            slots=slots,
             share=part,
             delay=wait,
             loss=lost,
