Have a request end plain servers in the soak, and judge that it is held

A new fault: a GET of one path ends each ledger server that runs it, beside all other faults; a new check allows three arrivals later than the contact bound after the third end, as for prompts after the fifth. Callers of other requests must not be told that theirs is held, as before. The test of the check is the same for both kinds now.

--- a/src/amaranthferry/soak/checks.py
+++ b/src/amaranthferry/soak/checks.py
@@ -19,6 +19,7 @@
 HOLD_OFF_ARRIVALS = 2
 #: Ends of servers under a prompt part after which, and a time, few more are sent.
 HARMFUL_ENDS = 5
+HARMFUL_REQUEST_ENDS = 3
 HARMFUL_ARRIVALS = 3
 CONTACT_BOUND: Seconds = 3.0
 #: Status of requests that are refused for a part of their prompt.
@@ -38,6 +39,7 @@
     HOLD_OFF = "a server is left alone for the time that it asks for"
     LIMIT = "a server gets no more than the limit that it names"
     HARMFUL_HELD = "prompts that end servers are held"
+    HARMFUL_REQUEST_HELD = "a request that ends servers is held"
     SOUND_NOT_HELD = "sound prompts are not held"
     REVOCATION = "a revoked key is refused within its bound"
     STOP_ABORTS_NOTHING = "a planned stop cuts nothing"
@@ -108,6 +110,8 @@
     unrecovered: list[str] = []
     #: Times at which servers ended under a prompt with the harmful part.
     harmful_ends: list[Seconds] = []
+    #: Times at which servers ended under the harmful request.
+    harmful_request_ends: list[Seconds] = []
     servers: list[str] = []
 
 
@@ -303,19 +307,41 @@
 
 
 def _check_harmful(record: SoakRecord) -> Iterator[Violation]:
-    """Check that few harmful prompts are sent some time after the fifth end.
+    """Check that few harmful requests are sent some time after enough ends.
 
     Hosts that are all killed at once know nothing of earlier ends.
     """
-    calls = {call.attempt: call for call in record.calls if call.harmful}
+    prompts = {c.attempt: c for c in record.calls if c.harmful and c.kind.streaming}
+    requests = {
+        c.attempt: c for c in record.calls if c.harmful and not c.kind.streaming
+    }
+    yield from _check_held(
+        record, Guarantee.HARMFUL_HELD, prompts, record.harmful_ends, HARMFUL_ENDS
+    )
+    yield from _check_held(
+        record,
+        Guarantee.HARMFUL_REQUEST_HELD,
+        requests,
+        record.harmful_request_ends,
+        HARMFUL_REQUEST_ENDS,
+    )
+
+
+def _check_held(
+    record: SoakRecord,
+    guarantee: Guarantee,
+    calls: dict[str, CallRecord],
+    harmful_ends: list[Seconds],
+    needed: int,
+) -> Iterator[Violation]:
     forgotten = max(
         (fault.end for fault in record.faults if fault.name == ALL_HOSTS_KILLED),
         default=0.0,
     )
-    ends = sorted(at for at in record.harmful_ends if at >= forgotten)
-    if len(ends) < HARMFUL_ENDS:
+    ends = sorted(at for at in harmful_ends if at >= forgotten)
+    if len(ends) < needed:
         return
-    start = ends[HARMFUL_ENDS - 1] + CONTACT_BOUND
+    start = ends[needed - 1] + CONTACT_BOUND
     late = [
         run.attempt
         for run in record.arrivals
@@ -326,7 +352,7 @@
         )
     ]
     if len(late) > HARMFUL_ARRIVALS:
-        yield Violation(Guarantee.HARMFUL_HELD, f"{late} were sent after {start:.2f} s")
+        yield Violation(guarantee, f"{late} were sent after {start:.2f} s")
 
 
 def _check_sound(record: SoakRecord) -> Iterator[Violation]:
--- a/src/amaranthferry/soak/run.py
+++ b/src/amaranthferry/soak/run.py
@@ -16,6 +16,7 @@
 from ..standins.deployment import (
     ENGINE_SERVICE,
     GRACE_TIME,
+    HARMFUL_NAME,
     HARMFUL_PART,
     LEDGER_SERVICE,
     CallKind,
@@ -25,7 +26,7 @@
     server_entry,
 )
 from ..standins.metadata import MetadataStore, StoreFault
-from ..standins.routed import RoutedServer, ServerFault
+from ..standins.routed import ReceivedRequest, RoutedServer, ServerFault
 from ..standins.serving import serve
 from ..types import Seconds
 from .checks import (
@@ -42,7 +43,8 @@
 from .schedule import PlannedFault, SoakFault, plan_faults
 
 SERVERS_PER_SERVICE = {ENGINE_SERVICE: 4, LEDGER_SERVICE: 2}
-#: Share of streaming calls with the harmful prompt part while such prompts are sent.
+#: Share of streaming calls with the harmful prompt part while such prompts are sent, and
+#: of the other calls that are the harmful request while that is sent.
 HARMFUL_SHARE = 0.3
 #: Time from the end of a server to its next start, and to the end of its entry.
 RESTART_TIME: Seconds = 1.0
@@ -98,6 +100,15 @@
         self.born = 1
         self.harmful_parts = frozenset({HARMFUL_PART})
         self.process = contextlib.AsyncExitStack()
+        self.ends_under = self._is_harmful_request
+        #: Whether the process ends under the harmful request, not under a prompt.
+        self.ran_harmful_request = False
+
+    def _is_harmful_request(self, request: ReceivedRequest) -> bool:
+        if not request.target.endswith(f"/{HARMFUL_NAME}"):
+            return False
+        self.ran_harmful_request = True
+        return True
 
     def note_execution(self, attempt: str) -> None:
         """Record that a request begins to run."""
@@ -145,6 +156,7 @@
         self._tasks: list[asyncio.Task[Any]] = []
         self._busy: set[str] = set()
         self._sends_harmful = False
+        self._sends_harmful_request = False
         self._limited: set[str] = set()
         self._sessions: list[aiohttp.ClientSession] = []
         self._stack = contextlib.AsyncExitStack()
@@ -224,7 +236,10 @@
         """End a server's process, as its prompt does, and start another one."""
         if server in self._servers:
             self._servers.remove(server)
-            self.record.harmful_ends.append(self._now())
+            ends = self.record.harmful_ends
+            if server.ran_harmful_request:
+                ends = self.record.harmful_request_ends
+            ends.append(self._now())
             self._spawn(self._restart_server(server))
 
     async def _restart_server(self, server: _RecordingServer) -> None:
@@ -257,6 +272,8 @@
             )
             if self._sends_harmful and record.kind.streaming:
                 record.harmful = self._rng.random() < HARMFUL_SHARE
+            if self._sends_harmful_request and record.kind is CallKind.LOOK:
+                record.harmful = self._rng.random() < HARMFUL_SHARE
             self.record.calls.append(record)
             session = self._sessions[number % len(self._sessions)]
             self._spawn(
@@ -344,6 +361,10 @@
                 "prompts",
                 lambda: self._send_harmful(duration),
             ),
+            SoakFault.HARMFUL_REQUEST: (
+                "request",
+                lambda: self._send_harmful_request(duration),
+            ),
             SoakFault.KEY_REVOKED: ("config", self._revoke),
             SoakFault.CONFIG_CHANGED: ("config", self._change_config),
         }[fault]
@@ -450,6 +471,11 @@
         await asyncio.sleep(CONTACT_BOUND + duration)
         self._sends_harmful = False
 
+    async def _send_harmful_request(self, duration: Seconds) -> None:
+        self._sends_harmful_request = True
+        await asyncio.sleep(CONTACT_BOUND + duration)
+        self._sends_harmful_request = False
+
     async def _revoke(self) -> None:
         revoked, self._keys = self._keys, [f"key-{next(self._numbers)}"]
         await self._change_config()
--- a/src/amaranthferry/soak/schedule.py
+++ b/src/amaranthferry/soak/schedule.py
@@ -43,6 +43,7 @@
     SERVICE_HOLDS_OFF = "servers of a service want nothing for a time"
     SERVER_LIMITED = "server names a limit that falls and ends"
     HARMFUL_PROMPTS = "prompts end servers"
+    HARMFUL_REQUEST = "a request ends servers"
     SERVER_REPLACED = "server replaced"
     KEY_REVOKED = "key revoked"
     CONFIG_CHANGED = "configuration changed"
--- a/src/amaranthferry/standins/deployment.py
+++ b/src/amaranthferry/standins/deployment.py
@@ -18,6 +18,8 @@
 HEARTBEAT: Seconds = 1.0
 #: Prompt parts: engines end when they begin an answer on the harmful one.
 HARMFUL_PART = "bad"
+#: Last part of the path of the request that ends servers.
+HARMFUL_NAME = "harmful"
 SOUND_PART = "cc"
 
 
@@ -190,7 +192,9 @@
         part = HARMFUL_PART if record.harmful else SOUND_PART
         own = record.attempt.encode().hex()
         headers["X-Amaranthferry-Prefix-Hash"] = f"aa:60,{part}:20,{own}:20"
-    url = URL(f"http://{address}/{record.kind}/{record.attempt}", encoded=True)
+    comes_again = record.harmful and not record.kind.streaming
+    name = HARMFUL_NAME if comes_again else record.attempt
+    url = URL(f"http://{address}/{record.kind}/{name}", encoded=True)
     method = "GET" if record.kind is CallKind.LOOK else "POST"
     timeout = aiohttp.ClientTimeout(total=deadline + 1.0)
     try:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -255,17 +255,35 @@
         (8.1, 4, ["all hosts killed: hosts"], False),
     ],
 )
-def test_harmful_prompts_after_the_fifth_end(at, count, faults, violated):
+@pytest.mark.parametrize(
+    ("kind", "ends", "guarantee"),
+    [
+        (
+            CallKind.ASK,
+            {"harmful_ends": [1.0, 2.0, 3.0, 4.0, 5.0]},
+            Guarantee.HARMFUL_HELD,
+        ),
+        (
+            CallKind.LOOK,
+            {"harmful_request_ends": [3.0, 4.0, 5.0]},
+            Guarantee.HARMFUL_REQUEST_HELD,
+        ),
+    ],
+)
+def test_harmful_requests_after_the_last_end_that_it_takes(
+    at, count, faults, violated, kind, ends, guarantee
+):
     names = [f"n{number}" for number in range(count)]
     record = {
         "calls": [
-            call(attempt=name, harmful=True, complete=False, sent=at) for name in names
+            call(attempt=name, kind=kind, harmful=True, complete=False, sent=at)
+            for name in names
         ],
         "arrivals": [Execution(name, "engine-1", at) for name in names],
-        "harmful_ends": [1.0, 2.0, 3.0, 4.0, 5.0],
+        **ends,
         "faults": [Span(name, 6.0, 6.5) for name in faults],
     }
-    assert found(**record) == ([Guarantee.HARMFUL_HELD] if violated else [])
+    assert found(**record) == ([guarantee] if violated else [])
 
 
 @pytest.mark.parametrize(("harmful", "violated"), [(False, True), (True, False)])
