Refuse a held request at once when its grant comes late

A host that returned the grant of a request which had become held asked for another permit. A coordinator that doesn't know the hold, for example one of an earlier release, granted it again, and each return had it back off a server for 0.5 s for all work. The new test failed before (no refusal, another PermitRequest).

--- a/src/amaranthferry/entry.py
+++ b/src/amaranthferry/entry.py
@@ -11,6 +11,7 @@
     MakeClaim,
     ObserveMetric,
     ReplayAnswer,
+    ReportHold,
     ReportReturn,
     SendToHost,
     SettleRequest,
@@ -195,7 +196,7 @@
             reason = ReturnReason.PART_HELD
             returned = _return_grant(state, event.sender, message, reason)
             told = tell(state, event.sender, [hold.subject])
-            return [*told, *returned, *request_permit(state, req)]
+            return [*told, *returned, *_request_unless_held(state, req)]
     req.permit_host = event.sender
     req.shard = message.shard
     req.server = message.server
@@ -204,6 +205,18 @@
     return _dispatch(state, req)
 
 
+def _request_unless_held(state: HostState, req: Request) -> list[Effect]:
+    """Request another permit, unless the request is held wherever it could run.
+
+    A coordinator of an earlier release would grant it again and again.
+    """
+    hold = hold_arrival(state, req.arrival)
+    if hold is None:
+        return request_permit(state, req)
+    report = ReportHold(request_id=req.arrival.request_id, hold=hold)
+    return [report, *refuse(state, req, HOLD_REASONS[hold.subject.kind], 0.0)]
+
+
 def _return_grant(
     state: HostState,
     sender: HostId,
--- /dev/null
+++ b/tests/harm/test_updates.py
@@ -0,0 +1,151 @@
+from amaranthferry.catalog import BudgetLimits, Instance
+from amaranthferry.control_fleet import MODEL, POOL, engine_deployment
+from amaranthferry.core import HostState, reduce
+from amaranthferry.effects import Dispatch, SendToHost, SettleRequest
+from amaranthferry.events import DispatchFailed, PeerReceived, RequestArrived
+from amaranthferry.harm.subjects import Subjects, SubjectState
+from amaranthferry.messages import (
+    HarmUpdate,
+    PermitGrant,
+    PermitRequest,
+    ServerIncarnation,
+)
+from amaranthferry.types import Outcome, RefusalReason, ServerState, SubjectKind
+
+DIGEST = 0xBAD
+
+
+def deployment(*, plain):
+    instances = {
+        f"s-{number}": Instance(
+            server=f"s-{number}",
+            service=POOL,
+            address=f"s-{number}:1",
+            zone="z",
+            slots=4,
+            state=ServerState.LIVE,
+            incarnation=number,
+        )
+        for number in range(4)
+    }
+    return engine_deployment(
+        instances,
+        slots=4,
+        limits=BudgetLimits(repeat_ratio=0.2, repeat_burst=20.0, repeat_refill=2.0),
+        plain=plain,
+    )
+
+
+def host_state(*, plain=True, hosts=("host",)):
+    state = HostState(
+        host="host", zone="z", deployment=deployment(plain=plain), hosts=hosts, now=10.0
+    )
+    # Other hosts have been asked when this one started.
+    state.parts_asked_at = 0.0
+    return state
+
+
+def arrival(now, name="r", *, plain=True, repeatable=True):
+    return RequestArrived(
+        now=now,
+        request_id=name,
+        workspace="",
+        tier="1",
+        work_class="cancelled-1",
+        pool=POOL,
+        timeout=5.0,
+        prompt_tokens=0,
+        output_tokens=0,
+        model="" if plain else MODEL,
+        objective=1.0,
+        max_attempts=2,
+        repeatable=repeatable,
+        digest=DIGEST,
+    )
+
+
+def run(state, event):
+    """Apply an event, and the messages to this host that follow; return the rest."""
+    rest, queue = [], [event]
+    while queue:
+        for effect in reduce(state, queue.pop(0)):
+            if isinstance(effect, SendToHost) and effect.host == state.host:
+                message = effect.message
+                received = PeerReceived(
+                    now=event.now, sender=state.host, message=message
+                )
+                queue.append(received)
+            else:
+                rest.append(effect)
+    return rest
+
+
+def of_type(effects, kind):
+    return [effect for effect in effects if isinstance(effect, kind)]
+
+
+def end_server(state, now, name="r"):
+    failed = DispatchFailed(now=now, request_id=name, server_ended=True)
+    return run(state, failed)
+
+
+def test_second_run_that_ends_another_server_is_answered_as_unknown_not_as_not_run():
+    state = host_state()
+    assert of_type(run(state, arrival(10.0)), Dispatch)
+    assert of_type(end_server(state, 10.1), Dispatch)
+    (settled,) = of_type(end_server(state, 10.2), SettleRequest)
+    assert settled.outcome is Outcome.UNKNOWN
+    assert state.harm.count(SubjectState.HELD, SubjectKind.REQUEST) == 1
+    effects = run(state, arrival(10.3, "again"))
+    (settled,) = of_type(effects, SettleRequest)
+    assert (settled.outcome, settled.reason) == (
+        Outcome.NOT_RUN,
+        RefusalReason.HARMFUL_REQUEST,
+    )
+    assert settled.retry_after == 0.0
+
+
+def test_evidence_is_sent_to_the_other_hosts_before_the_second_run_is_dispatched():
+    state = host_state(hosts=("host", "other"))
+    run(state, arrival(10.0))
+    effects = end_server(state, 10.1)
+    told = [
+        index
+        for index, effect in enumerate(effects)
+        if isinstance(effect, SendToHost) and isinstance(effect.message, HarmUpdate)
+    ]
+    dispatched = [i for i, e in enumerate(effects) if isinstance(e, Dispatch)]
+    assert told
+    assert dispatched
+    assert told[0] < dispatched[0]
+
+
+def test_grant_of_a_held_request_is_returned_and_the_request_refused_at_once():
+    states = (
+        host_state(plain=False, hosts=("host", f"other-{number}"))
+        for number in range(20)
+    )
+    state = next(
+        state
+        for state in states
+        if state.coordinator_of(state.shards_of(POOL)[0]) != state.host
+    )
+    run(state, arrival(10.0, plain=False))
+    for number in (1, 2):
+        state.harm.accuse(
+            Subjects(POOL, MODEL, (), DIGEST),
+            ServerIncarnation(f"gone-{number}", number, "a:1"),
+            "",
+            request_id=f"earlier-{number}",
+            alone=(),
+            familiar=(),
+            now=10.0 + number,
+        )
+    sender = state.requests["r"].permit_host
+    grant = PermitGrant("r", state.requests["r"].shard, "s-1")
+    effects = run(state, PeerReceived(now=12.1, sender=sender, message=grant))
+    (settled,) = of_type(effects, SettleRequest)
+    assert settled.reason is RefusalReason.HARMFUL_REQUEST
+    sent = [effect.message for effect in of_type(effects, SendToHost)]
+    assert not any(isinstance(message, PermitRequest) for message in sent)
+    assert not of_type(effects, Dispatch)
