Count a run that began right after another server's end

Times come from messages of several hosts, and a second run begins in the same moment in which the first is known to have ended: rounding alone decided whether its end counted, and then a third server ended. Runs may now begin 20 ms before the end before them.

Requests that hang each server, fail at each, or lose each answer leave others' work alone, which a test keeps.

--- a/src/amaranthferry/harm/evidence.py
+++ b/src/amaranthferry/harm/evidence.py
@@ -15,6 +15,8 @@
 
 #: Ends closer together than this count once, since they may have a common cause.
 COMMON_CAUSE_TIME: Seconds = 0.1
+#: How far a time that another host reported may be off.
+TIME_ERROR: Seconds = 0.02
 #: Times after which a held subject is tried again, each from the previous trial.
 TRIAL_DELAYS: tuple[Seconds, ...] = (60.0, 300.0, 1_500.0)
 MAX_ENDS = 16
@@ -191,6 +193,7 @@
     """
     count, previous = 0, -math.inf
     for end in sorted(ends, key=lambda end: end.at):
-        if end.began_at >= previous or end.at - previous > COMMON_CAUSE_TIME:
+        began_later = end.began_at >= previous - TIME_ERROR
+        if began_later or end.at - previous > COMMON_CAUSE_TIME:
             count, previous = count + 1, end.at
     return count
--- a/src/amaranthferry/standins/routed.py
+++ b/src/amaranthferry/standins/routed.py
@@ -75,6 +75,10 @@
         self.limit = ""
         #: Hashes of prompt parts that end the process once an answer begins on them.
         self.harmful_parts: frozenset[str] = frozenset()
+        #: The fault that a request meets by what it is, whatever the current one is.
+        self.fault_under: Callable[[ReceivedRequest], ServerFault | None] = (
+            lambda request: None
+        )
         #: Whether a request ends the process while it runs, and after which time.
         self.ends_under: Callable[[ReceivedRequest], bool] = lambda request: False
         self.crash_delay: Seconds = 0.05
@@ -128,30 +132,31 @@
             await asyncio.sleep(self.crash_delay)
             self.on_crash()
             await asyncio.sleep(HANG_DURATION)
+        fault = self.fault_under(received) or self.fault
         try:
             await asyncio.sleep(
                 HANG_DURATION
-                if self.fault is ServerFault.NO_ANSWER
+                if fault is ServerFault.NO_ANSWER
                 else self.processing_time
             )
         except asyncio.CancelledError:
             self.cancelled.append(attempt)
             raise
-        if self.fault is ServerFault.RESET_AFTER_EXECUTION:
+        if fault is ServerFault.RESET_AFTER_EXECUTION:
             drop_connection(request)
             return Response(status_code=500)
-        return self._response(request, attempt)
+        return self._response(request, attempt, fault)
 
-    def _response(self, request: Request, attempt: str) -> Response | UnframedResponse:
-        attempt_id = (
-            "another" if self.fault is ServerFault.WRONG_ATTEMPT_ID else attempt
-        )
+    def _response(
+        self, request: Request, attempt: str, fault: ServerFault
+    ) -> Response | UnframedResponse:
+        attempt_id = "another" if fault is ServerFault.WRONG_ATTEMPT_ID else attempt
         headers = {"X-Amaranthferry-Attempt-Id": attempt_id}
-        if self.fault is not ServerFault.UNSIGNED:
+        if fault is not ServerFault.UNSIGNED:
             headers["X-Amaranthferry-Server-Signature"] = f"signed-{self.name}"
-        if self.fault is ServerFault.ERROR:
+        if fault is ServerFault.ERROR:
             return Response(b"failed", status_code=500, headers=headers)
-        if self.fault is ServerFault.REJECTED:
+        if fault is ServerFault.REJECTED:
             return JSONResponse({"error": "no"}, status_code=422, headers=headers)
         if self.unframed:
             body = self._body if request.method == "GET" else self._stream
--- a/tests/gateway/test_harmful_requests.py
+++ b/tests/gateway/test_harmful_requests.py
@@ -5,6 +5,7 @@
 import aiohttp
 import pytest
 
+from amaranthferry.standins.routed import ServerFault
 from amaranthferry.types import Seconds
 
 from .fleet import KEY, config, fleet
@@ -14,6 +15,8 @@
 #: Requests that may still reach servers after that.
 ALLOWED = 3
 DURATION: Seconds = 9.0
+#: Time in which hosts that start find each other.
+PEERS_TIME: Seconds = 1.5
 OTHER_KEY = "key-of-office"
 
 
@@ -129,6 +132,60 @@
     assert {status for _, status in harmful.results[-10:]} == {400}
 
 
+@pytest.mark.parametrize(
+    "fault",
+    [
+        ServerFault.NO_ANSWER,
+        ServerFault.ERROR,
+        ServerFault.RESET_AFTER_EXECUTION,
+    ],
+)
+async def test_request_that_harms_only_itself_at_each_server_does_not_take_others_work(
+    fault,
+):
+    async with fleet(engines=0, ledgers=4, hosts=3) as (system, caller):
+        for server in system.servers.values():
+            server.processing_time = 0.03
+            server.fault_under = lambda request: (
+                fault if request.target.endswith("/bad") else None
+            )
+        sound, failing = Load(system, caller), Load(system, caller)
+        sound.start(unlike_requests(), rate=30, seconds=5.0)
+        failing.start(same("GET", "/look/bad"), rate=3.7, seconds=5.0)
+        await sound.finish()
+        await failing.finish()
+    assert sound.served(since=0.0) >= 0.95
+    assert 400 not in {status for _, status in failing.results}
+
+
+@pytest.mark.parametrize("restart_after", [0.5, 1.5])
+async def test_one_of_two_servers_goes_on_beside_a_request_that_ends_them(
+    restart_after,
+):
+    loop = asyncio.get_running_loop()
+    async with fleet(engines=0, ledgers=0, hosts=3) as (system, caller):
+        servers = [
+            await system.add_restarting_server(
+                "ledger",
+                f"server-{number}",
+                restart_after=restart_after,
+                ends_under=lambda request: request.target == "/look/bad",
+            )
+            for number in range(4)
+        ]
+        await asyncio.sleep(PEERS_TIME)
+        assert all(len(host.state.hosts) == 3 for host in system.hosts)
+        sound, harmful = Load(system, caller), Load(system, caller)
+        sound.start(unlike_requests(), rate=20, seconds=6.0)
+        began = loop.time()
+        harmful.start(same("GET", "/look/bad"), rate=3.7, seconds=6.0)
+        await sound.finish()
+        await harmful.finish()
+    ends = sorted(at for server in servers for at in server.ended_at)
+    assert len(ends) <= 3
+    assert sound.served(since=began + 2) >= 0.95
+
+
 async def test_popular_request_is_not_held_though_servers_end_under_it():
     async with fleet(engines=0, ledgers=0, hosts=3) as (system, caller):
         servers = [
--- a/tests/harm/test_verdicts.py
+++ b/tests/harm/test_verdicts.py
@@ -100,10 +100,12 @@
     assert not host.holds(request(GOOD))
 
 
-def test_second_run_that_ends_its_server_at_once_counts():
+@pytest.mark.parametrize("ran_for", [0.3, 0.5, 0.5000000001, 0.6])
+def test_second_run_that_ends_its_server_at_once_counts(ran_for):
     host = Host()
     host.end(request(BAD))
-    host.end(request(BAD), after=COMMON_CAUSE_TIME / 2, ran_for=COMMON_CAUSE_TIME / 3)
+    after = COMMON_CAUSE_TIME / 2
+    host.end(request(BAD), after=after, ran_for=2 * ran_for * after)
     assert host.holds(request(BAD))
 
 
