Lead from a held request to the servers that ended under it

explain-request shows, for a request that was refused as held, the runs on all hosts under which servers ended, by digest or part, at most 16. Tests for it and for the gauge of held requests.

--- a/src/amaranthferry/request_trace.py
+++ b/src/amaranthferry/request_trace.py
@@ -1,6 +1,7 @@
 """Reconstruct the trace of one request from the logs of all hosts."""
 
 import re
+from collections import defaultdict, deque
 from collections.abc import Iterable, Iterator
 from pathlib import Path
 from typing import Any
@@ -22,6 +23,10 @@
 )
 #: Events of all hosts that tell why a request is refused for a part of its prompt.
 PART_EVENTS = ("part.suspected", "part.held", "part.cleared")
+#: A run under which its server ended, by the request's digest and its prompt's parts.
+END_EVENT, ENDED = "dispatch.broken", "ended"
+#: Ends that are shown for a request that is refused for them.
+MAX_SHOWN_ENDS = 16
 #: Events that tell which limits a host knew of when it refused a request for them.
 LIMIT_EVENTS = ("server.limited", "server.limit_ended")
 LIMIT_REASON = "server_limit"
@@ -66,16 +71,22 @@
 
 
 class _LatestLines:
-    """Keep the latest lines about hosts, servers, limits and prompt parts."""
+    """Keep the latest lines about hosts, servers, limits and what ended servers."""
 
     def __init__(self) -> None:
         self._lines: dict[tuple[str, str, str], Line] = {}
+        self._ends: defaultdict[str, deque[Line]] = defaultdict(
+            lambda: deque(maxlen=MAX_SHOWN_ENDS)
+        )
 
     def record(self, line: Line) -> None:
         """Keep a line that tells what a host knew."""
         host, event = str(line.get("host", "")), str(line["event"])
         server = str(line.get("server", ""))
-        if event in STATE_EVENTS:
+        if event == END_EVENT and line.get("process") == ENDED:
+            for subject in {line.get("digest"), *line.get("parts", ())}:
+                self._ends[str(subject)].append(line)
+        elif event in STATE_EVENTS:
             self._lines[host, event, str(line.get("kind", ""))] = line
         elif event in PART_EVENTS:
             self._lines["", event, str(line.get("part", ""))] = line
@@ -93,10 +104,11 @@
         ]
 
     def about(self, line: Line) -> list[Line]:
-        """Return what was known of the server, limits or part that a line names."""
+        """Return what was known of the server, limits or subject that a line names."""
         host = str(line.get("host", ""))
         refused = line.get("reason") == LIMIT_REASON
-        return [
+        ends = list(self._ends.get(str(line.get("part")), ()))
+        return ends + [
             known
             for (item_host, kind, name), known in self._lines.items()
             if (kind in PART_EVENTS and name == line.get("part"))
--- a/tests/gateway/test_logs.py
+++ b/tests/gateway/test_logs.py
@@ -109,6 +109,30 @@
     ]
 
 
+def test_request_trace_leads_from_a_held_request_to_the_servers_that_ended_under_it():
+    broken = {"event": "dispatch.broken", "process": "ended", "parts": []}
+    lines = [
+        {"timestamp": "1", "host": "a", **broken, "digest": "bad", "server": "s1"},
+        {"timestamp": "2", "host": "b", **broken, "digest": "cc", "server": "s2"},
+        {"timestamp": "3", "host": "c", **broken, "digest": "bad", "server": "s3"},
+        {"timestamp": "4", "host": "a", "event": "part.held", "part": "bad"},
+        {
+            "timestamp": "5",
+            "host": "d",
+            "event": "request.held",
+            "request_id": "r",
+            "part": "bad",
+        },
+    ]
+    steps = build_trace(lines, "r")
+    assert [(step.event, step.fields.get("server")) for step in steps] == [
+        ("request.held", None),
+        ("dispatch.broken", "s1"),
+        ("dispatch.broken", "s3"),
+        ("part.held", None),
+    ]
+
+
 def test_request_trace_names_the_held_part_and_why_it_is_held():
     held = {"event": "part.held", "part": "bad", "ends": 3}
     other = {"event": "part.held", "part": "cc", "ends": 3}
--- a/tests/gateway/test_telemetry.py
+++ b/tests/gateway/test_telemetry.py
@@ -102,6 +102,21 @@
     assert f"amaranthferry_server_limit_left{labels} 0.0" in texts[1]
 
 
+async def test_metrics_show_a_request_that_is_held():
+    async with fleet(engines=0, ledgers=0) as (system, caller):
+        for number in range(3):
+            await system.add_restarting_server(
+                "ledger", f"server-{number}", ends_under=lambda request: True
+            )
+        await until(lambda: len(system.hosts[0].state.deployment.servers) == 3)
+        await caller.send("GET", "/look/x")
+        _, status, _, _ = await caller.send("GET", "/look/x")
+        text = await scrape(system)
+    assert status == 400
+    assert 'amaranthferry_harmful_requests{state="held"} 1.0' in text
+    assert 'outcome="not_run",reason="harmful_request",route="look"' in text
+
+
 async def until(condition):
     async with asyncio.timeout(5):
         while not condition():
