--- a/src/amaranthferry/harm/ledger.py
+++ b/src/amaranthferry/harm/ledger.py
@@ -435,11 +435,14 @@
 
     # Bounds.
 
-    def expire(self, now: Seconds) -> None:
-        """Forget old evidence but of held subjects, and the least beyond the limit."""
+    def expire(self, now: Seconds, services: Collection[PoolId]) -> None:
+        """Forget old evidence but of what is held, and the least beyond the limit.
+
+        What is held of a service that is no longer configured is forgotten, too.
+        """
         self._judge()
         for subject, record in self._records.items():
-            if record.state is not HELD:
+            if record.state is not HELD or subject.pool not in services:
                 _forget_old_ends(subject, record, now)
         excess = max(0, len(self._records) - MAX_SUBJECTS)
         for subject in sorted(self._records, key=self._evidence)[:excess]:
--- a/src/amaranthferry/harm/updates.py
+++ b/src/amaranthferry/harm/updates.py
@@ -217,7 +217,7 @@
     if not ledger or state.now - state.parts_exchanged_at < EXCHANGE_PERIOD:
         return []
     state.parts_exchanged_at = state.now
-    ledger.expire(state.now)
+    ledger.expire(state.now, state.deployment.pools)
     others = [host for host in state.hosts if host != state.host]
     if not others:
         return []
--- a/src/amaranthferry/harm/verdicts.py
+++ b/src/amaranthferry/harm/verdicts.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from ..messages import ServerIncarnation, SubjectId
-from ..types import RequestDigest, Seconds, SubjectKind
+from ..types import PoolId, RequestDigest, Seconds, SubjectKind
 from .evidence import (
     Ends,
     PartEvidence,
@@ -47,8 +47,8 @@
 
     #: The requests that each end accuses.
     suspects: dict[ServerIncarnation, set[SubjectId]]
-    #: All ends under known requests, also of those that have been acquitted.
-    ends: set[ServerIncarnation]
+    #: All ends under known requests of a service, also of those that were acquitted.
+    ends: dict[PoolId, set[ServerIncarnation]]
     #: The ends that held subjects account for.
     explained: set[ServerIncarnation] = set()
     #: Those of them that held parts account for.
@@ -59,10 +59,10 @@
     @classmethod
     def from_records(cls, records: Mapping[SubjectId, Record]) -> Self:
         suspects: dict[ServerIncarnation, set[SubjectId]] = defaultdict(set)
-        ends: set[ServerIncarnation] = set()
+        ends: dict[PoolId, set[ServerIncarnation]] = defaultdict(set)
         for subject, record in records.items():
             if subject.kind is SubjectKind.REQUEST:
-                ends.update(record.ends)
+                ends[subject.pool].update(record.ends)
                 for incarnation in record.accusing():
                     suspects[incarnation].add(subject)
         return cls(suspects, ends)
@@ -75,9 +75,9 @@
         else:
             self.by_parts.update(ends)
 
-    def unrelated(self, record: Record) -> int:
+    def unrelated(self, record: Record, pool: PoolId) -> int:
         """Return how many servers ended under other requests only, for no known cause."""
-        return len(self.ends - record.ends.keys() - self.explained)
+        return len(self.ends[pool] - record.ends.keys() - self.explained)
 
 
 class Verdicts(msgspec.Struct):
@@ -105,7 +105,7 @@
         record = accused[subject]
         if subject in groups:
             continue
-        if _judge(record, case) is HELD:
+        if _judge(record, case, subject.pool) is HELD:
             group = _inseparable(subject, record, records)
             groups |= {replace_hash(subject, other): group for other in group}
             case.close(subject, record.accusing())
@@ -153,13 +153,13 @@
 
 
 @singledispatch
-def _judge(record: Record, case: _Case) -> SubjectState:
+def _judge(record: Record, case: _Case, pool: PoolId) -> SubjectState:
     """Return the state that the unexplained ends lead to."""
     raise TypeError(f"Unsupported record: {type(record).__name__}.")
 
 
 @_judge.register
-def _(record: PartEvidence, case: _Case) -> SubjectState:
+def _(record: PartEvidence, case: _Case, pool: PoolId) -> SubjectState:
     """Judge a part by ends under several requests that have it."""
     ends = record.accusing(_explained_for(record, case)).values()
     if not ends:
@@ -177,7 +177,7 @@
 
 
 @_judge.register
-def _(record: RequestEvidence, case: _Case) -> SubjectState:
+def _(record: RequestEvidence, case: _Case, pool: PoolId) -> SubjectState:
     """Judge a request by its runs, and by what else is suspected of their ends."""
     accusing = record.accusing(_explained_for(record, case))
     if not accusing:
@@ -196,7 +196,7 @@
     if count_runs(sole) < HOLD_AFTER_SOLE_ENDS:
         return SUSPECTED
     # Where servers end for other reasons too, two ends may be a coincidence.
-    return HELD if case.unrelated(record) <= MAX_UNRELATED_ENDS else SUSPECTED
+    return HELD if case.unrelated(record, pool) <= MAX_UNRELATED_ENDS else SUSPECTED
 
 
 def _inseparable(
--- a/tests/harm/test_ledger.py
+++ b/tests/harm/test_ledger.py
@@ -362,7 +362,7 @@
         evidence.end(prompt(BAD))
     evidence.end(prompt(OTHER))
     evidence.now += END_RETENTION + 1
-    evidence.ledger.expire(evidence.now)
+    evidence.ledger.expire(evidence.now, {"engines"})
     assert len(evidence.ledger) == 1
     assert evidence.is_held(prompt(BAD))
 
@@ -376,7 +376,7 @@
         evidence.sound(prompt(2_000_000 + number))
     for _ in range(3 * MAX_ENDS):
         evidence.end(prompt(BAD))
-    evidence.ledger.expire(evidence.now)
+    evidence.ledger.expire(evidence.now, {"engines"})
     assert len(evidence.ledger) <= MAX_SUBJECTS
     assert len(evidence.ledger._sound_at) <= MAX_SOUND_SUBJECTS
     part = SubjectId("engines", "m", "", BAD)
--- a/tests/harm/test_verdicts.py
+++ b/tests/harm/test_verdicts.py
@@ -1,7 +1,7 @@
 import pytest
 
 from amaranthferry.harm.evidence import COMMON_CAUSE_TIME
-from amaranthferry.harm.ledger import FAMILIAR_AGE, HarmLedger
+from amaranthferry.harm.ledger import END_RETENTION, FAMILIAR_AGE, HarmLedger
 from amaranthferry.harm.subjects import Subjects, SubjectState
 from amaranthferry.messages import ServerIncarnation
 from amaranthferry.types import SubjectKind
@@ -186,3 +186,34 @@
         for record in records:
             hosts[receiver].ledger.merge(record, "host", hosts[receiver].now)
     assert all(host.holds(request(BAD)) for host in hosts)
+
+
+def test_ends_of_another_service_say_nothing_about_a_request():
+    host = Host()
+    for number in range(3):
+        other = Subjects("other", "", (), 0x100 + number)
+        host.end(other)
+    host.end(request(BAD))
+    host.end(request(BAD))
+    assert host.holds(request(BAD))
+
+
+def test_two_ends_are_not_enough_where_servers_end_under_other_requests_too():
+    host = Host()
+    for number in range(3):
+        host.end(request(0x100 + number))
+    host.end(request(GOOD))
+    host.end(request(GOOD))
+    assert not host.holds(request(GOOD))
+    host.end(request(GOOD))
+    assert host.holds(request(GOOD))
+
+
+@pytest.mark.parametrize(("services", "held"), [({"service"}, True), ((), False)])
+def test_what_is_held_of_a_removed_service_is_forgotten(services, held):
+    host = Host()
+    host.end(request(BAD))
+    host.end(request(BAD))
+    host.now += END_RETENTION + 1
+    host.ledger.expire(host.now, services)
+    assert host.holds(request(BAD)) is held
