Have all hosts hold the same one of requests with equal evidence

Two requests that stood in the same three ends were ranked by the order in which a host had learned of them, so hosts held different ones, and the harmful one went on where the other was held. Found by a new property test (sights of three hosts, lost and doubled messages), which failed before; 4,000 examples of each property pass now.

--- a/src/amaranthferry/harm/verdicts.py
+++ b/src/amaranthferry/harm/verdicts.py
@@ -120,9 +120,11 @@
     return Verdicts(groups, states)
 
 
-def _order(subject: SubjectId, record: Record) -> tuple[bool, int, bool]:
+def _order(subject: SubjectId, record: Record) -> tuple[bool, int, bool, int]:
     is_part = subject.kind is SubjectKind.PART
-    return record.is_familiar(), -len(record.accusing()), is_part
+    # All hosts have to choose the same one of requests with equal evidence.
+    rank = 0 if is_part else subject.hash
+    return record.is_familiar(), -len(record.accusing()), is_part, rank
 
 
 @singledispatch
