--- a/src/amaranthferry/cli.py
+++ b/src/amaranthferry/cli.py
@@ -6,7 +6,7 @@
     cli_audit,
     cli_bench,
     cli_control,
-    cli_held_parts,
+    cli_held,
     cli_hosts,
     cli_load,
     cli_request_trace,
@@ -27,7 +27,9 @@
 app.command()(cli_hosts.status)
 app.command(name="explain-request")(cli_request_trace.explain_request)
 app.add_typer(cli_hosts.servers, name="servers")
-app.add_typer(cli_held_parts.app, name="held-parts")
+app.add_typer(cli_held.app, name="held")
+# The name of the release before.
+app.add_typer(cli_held.app, name="held-parts", hidden=True)
 app.add_typer(cli_settings.app, name="settings")
 app.add_typer(cli_audit.app, name="audit")
 app.add_typer(cli_load.app, name="load")
--- a/src/amaranthferry/cli_held.py
+++ b/src/amaranthferry/cli_held.py
@@ -1,4 +1,4 @@
-"""Define the `held-parts` commands."""
+"""Define the `held` commands."""
 
 import asyncio
 from typing import Annotated
@@ -16,7 +16,7 @@
 CALL_TIMEOUT: Seconds = 10.0
 
 app = typer.Typer(
-    help="List and lift prompt parts that are held for ending servers.",
+    help="List and lift what is held for ending servers: requests and prompt parts.",
     no_args_is_help=True,
 )
 Host = Annotated[
@@ -31,8 +31,8 @@
 
 
 @app.command("list")
-def list_parts(*, host: Host, as_json: Json = False) -> None:
-    """List the held parts as one host knows them."""
+def list_held(*, host: Host, as_json: Json = False) -> None:
+    """List what is held as one host knows it."""
     held = asyncio.run(_call("GET", host, "/held-parts"))
     if as_json:
         typer.echo(msgspec.json.encode(held).decode())
@@ -45,10 +45,13 @@
 
 
 @app.command()
-def lift(part: str, *, host: Host, peer_key: PeerKey) -> None:
-    """Lift the hold on a part on all hosts; new ends of servers may renew it."""
-    held = asyncio.run(_call("POST", host, f"/held-parts/{part}/lift", peer_key))
-    typer.echo(f"{part}: {len(held)} holds lifted.")
+def lift(subject: str, *, host: Host, peer_key: PeerKey) -> None:
+    """Lift the hold on a part or a request, by its number, on all hosts.
+
+    New ends of servers may renew it.
+    """
+    held = asyncio.run(_call("POST", host, f"/held-parts/{subject}/lift", peer_key))
+    typer.echo(f"{subject}: {len(held)} holds lifted.")
 
 
 def _cell(value: object) -> str:
@@ -75,6 +78,6 @@
     if answer.status not in (200, 404):
         raise HostUnreachable(
             f"{host} answered {answer.status}: {body.decode(errors='replace')}",
-            remedy="Check the part, a hex number, and the peer key.",
+            remedy="Check the subject, a hex number, and the peer key.",
         )
     return msgspec.json.decode(body, type=list[HeldSubject])
