Test what the product's own interface tells of requests that end servers

Whether a plain server's process has ended is told there as for engines, and calls that are the same to a server have one digest, whatever their idempotency keys.

--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -205,3 +205,31 @@
     others = [app for app in system.hosts if app.cfg.host != coordinator]
     assert {app.state.coordinator_of(shard) for app in others} == {coordinator}
     await wait_until(lambda: all(app.state.is_leaving("engine-1") for app in others))
+
+
+async def test_calls_that_are_the_same_to_a_server_have_one_digest(system, monkeypatch):
+    app, digests = system.hosts[0], []
+    accept = app.accept
+
+    def note(arrival, call):
+        digests.append(arrival.digest)
+        return accept(arrival, call)
+
+    monkeypatch.setattr(app, "accept", note)
+    path = f"{system.base_urls[0]}/services/ledger/entries"
+    calls = [
+        ("one", "key-1", path),
+        ("one", "key-2", path),
+        ("two", "key-3", path),
+        ("one", "key-4", f"{path}?dry=1"),
+    ]
+    async with aiohttp.ClientSession() as session:
+        for body, key, url in calls:
+            headers = {
+                "Authorization": f"Bearer {api_key(WORKSPACE)}",
+                "Idempotency-Key": key,
+            }
+            async with session.post(url, data=body, headers=headers) as answer:
+                await answer.read()
+    assert digests[0] == digests[1]
+    assert len(set(digests)) == 3
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -88,8 +88,9 @@
     assert isinstance(ended, DispatchFinished if complete else DispatchFailed)
 
 
+@pytest.mark.parametrize("kind", [PoolKind.ENGINE, PoolKind.SERVICE])
 @pytest.mark.parametrize("ends", [True, False])
-async def test_end_of_an_engine_is_told_from_a_lost_connection(ends):
+async def test_end_of_a_server_is_told_from_a_lost_connection(ends, kind):
     async def answer(reader, writer):
         await reader.readuntil(b"\r\n\r\n")
         if ends:
@@ -106,12 +107,12 @@
     )
     call = Call(
         request_id=RequestId("r"),
-        kind=PoolKind.ENGINE,
+        kind=kind,
         method="POST",
         path="/call",
         headers=(),
         body=b"x",
-        streamed=True,
+        streamed=kind is PoolKind.ENGINE,
         timeout=2.0,
     )
     events = []
