Ask the claim first before a keyed request is refused as held

On the product's interface a request with an idempotency key that had ended a server was answered unknown, and its repeat under the same key 400, not run, as soon as it was held: untrue, since the first attempt had run. Holds came before claims, for prompt parts as well. Now the claim is asked first: a key that may have run gets 409, a new key is refused as held by whoever decides, and its claim is released. The new test failed before in both cases. Found by reading the promises against the new refusal.

--- a/src/amaranthferry/entry.py
+++ b/src/amaranthferry/entry.py
@@ -57,7 +57,8 @@
     reason = _rejection_reason(state)
     if reason is not None:
         return [refusal_effect(event.request_id, reason, DRAIN_RETRY_AFTER)]
-    hold = hold_arrival(state, event)
+    # An earlier attempt with the same key may have run: its claim tells.
+    hold = None if event.idempotency_key else hold_arrival(state, event)
     if hold is not None:
         reason = HOLD_REASONS[hold.subject.kind]
         refusal = refusal_effect(event.request_id, reason, 0.0)
--- a/tests/harm/test_updates.py
+++ b/tests/harm/test_updates.py
@@ -1,8 +1,22 @@
+import pytest
+
 from amaranthferry.catalog import BudgetLimits, Instance
 from amaranthferry.control_fleet import MODEL, POOL, engine_deployment
 from amaranthferry.core import HostState, reduce
-from amaranthferry.effects import Dispatch, SendToHost, SettleRequest
-from amaranthferry.events import DispatchFailed, PeerReceived, RequestArrived
+from amaranthferry.effects import (
+    CountMetric,
+    Dispatch,
+    MakeClaim,
+    ObserveMetric,
+    SendToHost,
+    SettleRequest,
+)
+from amaranthferry.events import (
+    ClaimSettled,
+    DispatchFailed,
+    PeerReceived,
+    RequestArrived,
+)
 from amaranthferry.harm.subjects import Subjects, SubjectState
 from amaranthferry.messages import (
     HarmUpdate,
@@ -45,7 +59,7 @@
     return state
 
 
-def arrival(now, name="r", *, plain=True, repeatable=True):
+def arrival(now, name="r", *, plain=True, repeatable=True, key=""):
     return RequestArrived(
         now=now,
         request_id=name,
@@ -61,6 +75,7 @@
         max_attempts=2,
         repeatable=repeatable,
         digest=DIGEST,
+        idempotency_key=key,
     )
 
 
@@ -105,6 +120,36 @@
     assert settled.retry_after == 0.0
 
 
+@pytest.mark.parametrize(
+    ("claim", "outcome", "reason"),
+    [
+        (
+            {"held": False, "outcome": Outcome.UNKNOWN},
+            Outcome.UNKNOWN,
+            RefusalReason.KEY_UNKNOWN,
+        ),
+        ({"held": True}, Outcome.NOT_RUN, RefusalReason.HARMFUL_REQUEST),
+    ],
+)
+def test_held_request_whose_key_may_have_run_is_not_called_not_run(
+    claim, outcome, reason
+):
+    state = host_state()
+    run(state, arrival(10.0))
+    end_server(state, 10.1)
+    end_server(state, 10.2)
+    effects = run(state, arrival(10.3, "again", key="k"))
+    assert [type(effect) for effect in effects if not is_metric(effect)] == [MakeClaim]
+    effects = run(state, ClaimSettled(now=10.4, request_id="again", **claim))
+    (settled,) = of_type(effects, SettleRequest)
+    assert (settled.outcome, settled.reason) == (outcome, reason)
+    assert not of_type(effects, Dispatch)
+
+
+def is_metric(effect):
+    return isinstance(effect, CountMetric | ObserveMetric)
+
+
 def test_evidence_is_sent_to_the_other_hosts_before_the_second_run_is_dispatched():
     state = host_state(hosts=("host", "other"))
     run(state, arrival(10.0))
