Don't acquit a request for an answer with which it may have been turned away

A server that is busy may answer 503 with its signature and without saying that it hasn't run the request. That cleared a request under which servers had ended, at all hosts. 408, 429 and 503 acquit nobody now; any other complete and signed answer does. Tests also say which ends of a run accuse nobody: a lost connection, a leaving server, an answer that had flowed.

--- a/src/amaranthferry/gateway/dispatching.py
+++ b/src/amaranthferry/gateway/dispatching.py
@@ -63,6 +63,8 @@
 MAX_EVENT_BYTES = 256 * 1024
 MIN_REDIRECT = 300
 MIN_SERVER_ERROR = 500
+#: With these a server may turn a request away that it hasn't begun to run.
+REFUSAL_STATUSES = frozenset({408, 429, 503})
 EVENT_STREAM = "text/event-stream"
 
 Report = Callable[[Event], None]
@@ -129,9 +131,9 @@
         self._tokens: Tokens = 0
         self._reported_at: Seconds = 0.0
         self._failed = False
-        #: Whether an answer is complete and bears the server's signature.
+        #: Whether the answer is of a server that has run the request, and complete.
         self._from_server = False
-        self._signed = False
+        self._ran = False
         self._conn: HttpConnection | None = None
         self.framing: AnswerFraming | None = None
         self._reader: EventReader | None = None
@@ -345,7 +347,7 @@
             raise BrokenAnswer("The answer carries the attempt id of another request.")
         if start.status < MIN_REDIRECT and not origin.signed:
             raise BrokenAnswer("The answer has no server signature.")
-        self._signed = origin.signed
+        self._ran = origin.signed and start.status not in REFUSAL_STATUSES
         self._failed = start.status >= MIN_SERVER_ERROR
         if self._failed:
             self._log(LogEvent.DISPATCH_FAILED, status=start.status)
@@ -378,7 +380,7 @@
         left = max(0.0, self._call.deadline - self._clock())
         async with asyncio.timeout(left):
             body = await conn.body()
-        self._from_server = self._signed
+        self._from_server = self._ran
         self._report(
             FirstTokenSeen(now=self._clock(), request_id=self._call.request_id)
         )
@@ -401,7 +403,7 @@
                 await self._exchange.feed(passed)
         if reader.is_inside_event:
             raise BrokenAnswer("The stream ended inside an event.")
-        self._from_server = self._signed
+        self._from_server = self._ran
         if rest := reader.finish():
             await self._exchange.feed(rest)
         self._exchange.finish()
--- a/src/amaranthferry/standins/routed.py
+++ b/src/amaranthferry/standins/routed.py
@@ -23,6 +23,7 @@
     NONE = "none"
     FULL = "full"
     ERROR = "error"
+    BUSY = "busy"
     REJECTED = "rejected"
     RESET_AFTER_EXECUTION = "reset_after_run"
     CUT_STREAM = "cut_stream"
@@ -154,6 +155,8 @@
         headers = {"X-Amaranthferry-Attempt-Id": attempt_id}
         if fault is not ServerFault.UNSIGNED:
             headers["X-Amaranthferry-Server-Signature"] = f"signed-{self.name}"
+        if fault is ServerFault.BUSY:
+            return Response(b"busy", status_code=503, headers=headers)
         if fault is ServerFault.ERROR:
             return Response(b"failed", status_code=500, headers=headers)
         if fault is ServerFault.REJECTED:
--- a/tests/gateway/test_harmful_requests.py
+++ b/tests/gateway/test_harmful_requests.py
@@ -5,8 +5,9 @@
 import aiohttp
 import pytest
 
+from amaranthferry.harm.subjects import SubjectState
 from amaranthferry.standins.routed import ServerFault
-from amaranthferry.types import Seconds
+from amaranthferry.types import Seconds, SubjectKind
 
 from .fleet import KEY, config, fleet
 
@@ -205,3 +206,38 @@
     assert ends >= 5
     assert 400 not in {status for _, status in popular.results}
     assert popular.served(since=0.0) >= 0.8
+
+
+@pytest.mark.parametrize(
+    ("fault", "acquitted"),
+    [
+        (ServerFault.NONE, True),
+        (ServerFault.ERROR, True),
+        (ServerFault.REJECTED, True),
+        (ServerFault.BUSY, False),
+        (ServerFault.UNSIGNED, False),
+        (ServerFault.RESET_AFTER_EXECUTION, False),
+    ],
+)
+async def test_only_a_server_that_has_outlived_a_request_acquits_it(fault, acquitted):
+    async with fleet(engines=0, ledgers=1) as (system, caller):
+        (server,) = system.servers.values()
+        ending = await system.add_restarting_server(
+            "ledger", "ending", ends_under=lambda request: True, restart_after=5.0
+        )
+        ledger = system.hosts[0].state.harm
+        await until(lambda: len(system.hosts[0].state.deployment.servers) == 2)
+        server.fault = ServerFault.FULL
+        while not ending.ended_at:
+            await caller.send("POST", "/pay/one", data=b"1")
+        assert ledger.count(SubjectState.SUSPECTED, SubjectKind.REQUEST) == 1
+        server.fault = fault
+        await caller.send("POST", "/pay/one", data=b"1")
+        left = ledger.count(SubjectState.SUSPECTED, SubjectKind.REQUEST)
+    assert left == (0 if acquitted else 1)
+
+
+async def until(condition):
+    async with asyncio.timeout(5):
+        while not condition():
+            await asyncio.sleep(0.02)
--- a/tests/harm/test_updates.py
+++ b/tests/harm/test_updates.py
@@ -14,9 +14,12 @@
 from amaranthferry.events import (
     ClaimSettled,
     DispatchFailed,
+    FirstTokenSeen,
     PeerReceived,
     RequestArrived,
+    ServerStateSeen,
 )
+from amaranthferry.harm.ledger import SETTLED_TIME
 from amaranthferry.harm.subjects import Subjects, SubjectState
 from amaranthferry.messages import (
     HarmUpdate,
@@ -24,7 +27,13 @@
     PermitRequest,
     ServerIncarnation,
 )
-from amaranthferry.types import Outcome, RefusalReason, ServerState, SubjectKind
+from amaranthferry.types import (
+    Outcome,
+    RefusalReason,
+    ServerState,
+    ServerStateSource,
+    SubjectKind,
+)
 
 DIGEST = 0xBAD
 
@@ -194,3 +203,42 @@
     sent = [effect.message for effect in of_type(effects, SendToHost)]
     assert not any(isinstance(message, PermitRequest) for message in sent)
     assert not of_type(effects, Dispatch)
+
+
+def leave(state, now):
+    """Have the server of the running request say that it leaves."""
+    server = state.requests["r"].server
+    leaving = ServerStateSeen(
+        now=now,
+        server=server,
+        state=ServerState.LEAVING,
+        source=ServerStateSource.HOST_LIST,
+    )
+    run(state, leaving)
+
+
+def flow(state, now):
+    """Have the answer of the running request begin long before its server ends."""
+    run(state, FirstTokenSeen(now=now - 2 * SETTLED_TIME, request_id="r"))
+
+
+@pytest.mark.parametrize(
+    ("before", "server_ended", "accused"),
+    [
+        (None, True, 1),
+        # The connection was lost, or nothing tells.
+        (None, False, 0),
+        (leave, True, 0),
+        (flow, True, 0),
+    ],
+)
+def test_end_of_a_run_that_has_another_cause_accuses_no_request(
+    before, server_ended, accused
+):
+    state = host_state()
+    run(state, arrival(10.0, repeatable=False))
+    if before is not None:
+        before(state, 13.0)
+    failed = DispatchFailed(now=13.0, request_id="r", server_ended=server_ended)
+    run(state, failed)
+    assert state.harm.count(SubjectState.SUSPECTED, SubjectKind.REQUEST) == accused
