Break off an unframed stream that ends before its first event

A server whose answer has neither a length nor chunks ended under a harmful prompt, and its connection closed in order: the caller got an empty answer that looked whole, and the end accused nobody. A stream that begins and has no event at all isn't an answer of a model server; a resumed one may have none left. The new test failed before.

--- a/src/amaranthferry/gateway/dispatching.py
+++ b/src/amaranthferry/gateway/dispatching.py
@@ -394,6 +394,7 @@
         self, conn: HttpConnection, start: AnswerStart
     ) -> _AnswerEnd:
         """Relay a stream; a resumable one only in complete events."""
+        resumes = bool(self._exchange.last_event_id or self._call.params.last_event_id)
         self._exchange.begin(start)
         self._reader = reader = EventReader(complete_only=self._call.route.resumable)
         self._progress_at = self._clock()
@@ -403,6 +404,9 @@
                 await self._exchange.feed(passed)
         if reader.is_inside_event:
             raise BrokenAnswer("The stream ended inside an event.")
+        unframed = start.framing is AnswerFraming.CONNECTION_END
+        if unframed and not (reader.has_had_event or resumes):
+            raise BrokenAnswer("The stream ended before its first event.")
         self._from_server = self._ran
         if rest := reader.finish():
             await self._exchange.feed(rest)
--- a/src/amaranthferry/gateway/sse.py
+++ b/src/amaranthferry/gateway/sse.py
@@ -18,6 +18,8 @@
         self.last_event_id = ""
         #: Whether the last bytes completed an event, not only comments.
         self.has_event = False
+        #: Whether any bytes so far did.
+        self.has_had_event = False
 
     @property
     def partial_size(self) -> int:
@@ -40,6 +42,7 @@
         cut = _end_of_events(data)
         events = data[:cut]
         self.has_event = _has_field(events)
+        self.has_had_event |= self.has_event
         self._record_last_id(events)
         self._buffer = data[cut:]
         return events if self._complete_only else chunk
--- a/tests/gateway/test_application.py
+++ b/tests/gateway/test_application.py
@@ -401,6 +401,17 @@
     assert counts == {("review", process): 1}
 
 
+async def test_unframed_stream_that_ends_with_its_server_before_an_event_is_not_whole():
+    async with fleet(engines=0) as (system, caller):
+        engine = await system.add_restarting_engine("engine")
+        (server,) = engine.incarnations
+        server.unframed, server.harmful_parts = True, frozenset({"bad"})
+        await until(lambda: system.hosts[0].state.deployment.servers)
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await caller.send_prompt("/review/one", parts="aa:10,bad:20,f1:5")
+        await until(lambda: len(system.hosts[0].state.harm))
+
+
 async def test_answer_to_a_head_request_has_no_body_and_is_relayed():
     async with fleet() as (system, caller):
         _, status, headers, body = await caller.send("HEAD", "/look/x")
