--- a/src/amaranthferry/gateway/dispatching.py
+++ b/src/amaranthferry/gateway/dispatching.py
@@ -131,9 +131,10 @@
         self._tokens: Tokens = 0
         self._reported_at: Seconds = 0.0
         self._failed = False
-        #: Whether the answer is of a server that has run the request, and complete.
-        self._from_server = False
+        #: Whether the answer that has begun is the server's, and not a refusal to run.
         self._ran = False
+        #: Whether it is complete, too.
+        self._from_server = False
         self._conn: HttpConnection | None = None
         self.framing: AnswerFraming | None = None
         self._reader: EventReader | None = None
--- a/src/amaranthferry/gateway/telemetry.py
+++ b/src/amaranthferry/gateway/telemetry.py
@@ -219,8 +219,8 @@
             "Prompt parts that servers ended under, by what is believed of them.",
             ("state",),
             {
-                (part_state,): float(state.harm.count(part_state))
-                for part_state in (SubjectState.SUSPECTED, SubjectState.HELD)
+                (believed,): float(state.harm.count(believed))
+                for believed in (SubjectState.SUSPECTED, SubjectState.HELD)
             },
         ),
         (
@@ -228,8 +228,8 @@
             "Whole requests that servers ended under, by what is believed of them.",
             ("state",),
             {
-                (state_,): float(state.harm.count(state_, SubjectKind.REQUEST))
-                for state_ in (SubjectState.SUSPECTED, SubjectState.HELD)
+                (believed,): float(state.harm.count(believed, SubjectKind.REQUEST))
+                for believed in (SubjectState.SUSPECTED, SubjectState.HELD)
             },
         ),
         (
--- a/src/amaranthferry/harm/verdicts.py
+++ b/src/amaranthferry/harm/verdicts.py
@@ -43,7 +43,7 @@
 
 
 class _Case(msgspec.Struct):
-    """Collect what is known of all ends while subjects are judged one after the other."""
+    """Collect what is known of the ends while one subject after the other is judged."""
 
     #: The requests that each end accuses.
     suspects: dict[ServerIncarnation, set[SubjectId]]
@@ -81,11 +81,9 @@
 
 
 class Verdicts(msgspec.Struct):
-    """Represent the subjects that are held, and the ends that are explained by that.
-
-    `groups` has the hashes that are held only together, by subject.
-    """
+    """Represent what is believed of all accused subjects."""
 
+    #: The hashes that are held only together, by held subject.
     groups: dict[SubjectId, frozenset[int]]
     states: dict[SubjectId, SubjectState]
 
