--- a/src/amaranthferry/standins/metadata.py
+++ b/src/amaranthferry/standins/metadata.py
@@ -8,7 +8,7 @@
 import msgspec
 from starlette.applications import Starlette
 from starlette.requests import Request
-from starlette.responses import JSONResponse, Response
+from starlette.responses import Response
 from starlette.routing import Route
 
 from ..types import Seconds
@@ -25,9 +25,18 @@
 
     NONE = "none"
     BUSY = "busy"
+    LIMITED = "limited"
     RESET = "reset"
     SILENT = "silent"
     LOSE_ANSWERS = "lose_answers"
+    #: Each watch is told that its history is gone.
+    NO_HISTORY = "no_history"
+    #: Watches that wait hear of no change.
+    MUTE_WATCHES = "mute_watches"
+
+
+_REFUSALS = {StoreFault.BUSY: 503, StoreFault.LIMITED: 429}
+_WATCH_FAULTS = (StoreFault.NO_HISTORY, StoreFault.MUTE_WATCHES)
 
 
 class _Object(msgspec.Struct):
@@ -55,8 +64,30 @@
     made_at: Seconds = 0.0
 
 
+class StoreView:
+    """Serve a store at an address of its own, with faults of its own."""
+
+    def __init__(self, store: "MetadataStore") -> None:
+        self.fault = StoreFault.NONE
+        self.delay: Seconds = 0.0
+        self.app = Starlette(
+            routes=[
+                Route("/objects/{kind}", store.handle_kind, methods=["GET", "POST"]),
+                Route(
+                    "/objects/{kind}/{name}",
+                    store.handle_object,
+                    methods=["GET", "PUT", "DELETE"],
+                ),
+            ]
+        )
+        self.app.state.view = self
+
+
 class MetadataStore:
-    """Store objects by kind and name, and serve them over HTTP through `app`."""
+    """Store objects by kind and name, and serve them over HTTP through `app`.
+
+    A spec that is a `msgspec.Raw` is served as it is, whether it can be read or not.
+    """
 
     def __init__(self) -> None:
         self.fault = StoreFault.NONE
@@ -69,16 +100,11 @@
         self._all_changes: list[_Change] = []
         self._compacted_revision = 0
         self._changed = asyncio.Condition()
-        self.app = Starlette(
-            routes=[
-                Route("/objects/{kind}", self._handle_kind, methods=["GET", "POST"]),
-                Route(
-                    "/objects/{kind}/{name}",
-                    self._handle_object,
-                    methods=["GET", "PUT", "DELETE"],
-                ),
-            ]
-        )
+        self.app = self.view().app
+
+    def view(self) -> StoreView:
+        """Return a view of the store that can be served at an address of its own."""
+        return StoreView(self)
 
     async def put(self, kind: str, name: str, spec: Any) -> None:
         """Write an object as an operator or a server would."""
@@ -132,7 +158,8 @@
         async with self._changed:
             self._changed.notify_all()
 
-    async def _handle_kind(self, request: Request) -> Response:
+    async def handle_kind(self, request: Request) -> Response:
+        """Answer a call for the objects of a kind."""
         kind = request.path_params["kind"]
         if request.method == "POST":
             body = await request.json()
@@ -141,7 +168,8 @@
             return await self._answer(request, self._watch(kind, request))
         return await self._answer(request, self._list(kind, request))
 
-    async def _handle_object(self, request: Request) -> Response:
+    async def handle_object(self, request: Request) -> Response:
+        """Answer a call for one object."""
         kind, name = request.path_params["kind"], request.path_params["name"]
         if request.method == "DELETE":
             return await self._answer(request, self._delete(kind, name))
@@ -149,26 +177,38 @@
 
     async def _answer(self, request: Request, operation: Any) -> Response:
         self.calls.append((request.method, request.url.path))
-        await asyncio.sleep(self.delay)
-        if self.fault is StoreFault.LOSE_ANSWERS and request.method != "GET":
+        view: StoreView = request.app.state.view
+        await asyncio.sleep(self.delay + view.delay)
+        fault = self._fault(view)
+        if fault is StoreFault.LOSE_ANSWERS and request.method != "GET":
             await operation
             drop_connection(request)
             return Response(status_code=500)
-        if self.fault not in (StoreFault.NONE, StoreFault.LOSE_ANSWERS):
-            operation.close()
-            return await self._fail(request)
-        status, body = await operation
-        return self._json(body, status)
+        if fault in (StoreFault.NONE, StoreFault.LOSE_ANSWERS, *_WATCH_FAULTS):
+            status, body = await operation
+            if self._fault(view) is StoreFault.SILENT:
+                return await self._fail(request, StoreFault.SILENT)
+            return self._json(body, status)
+        operation.close()
+        return await self._fail(request, fault)
+
+    def _fault(self, view: StoreView) -> StoreFault:
+        return self.fault if self.fault is not StoreFault.NONE else view.fault
 
     def _json(self, body: Any, status: int) -> Response:
-        return JSONResponse(body, status, headers={ERA_HEADER: str(self.era)})
+        return Response(
+            msgspec.json.encode(body),
+            status,
+            headers={ERA_HEADER: str(self.era)},
+            media_type="application/json",
+        )
 
-    async def _fail(self, request: Request) -> Response:
-        if self.fault is StoreFault.SILENT:
+    async def _fail(self, request: Request, fault: StoreFault) -> Response:
+        if fault is StoreFault.SILENT:
             await asyncio.sleep(HANG_DURATION)
-        if self.fault is StoreFault.RESET:
+        if fault is StoreFault.RESET:
             drop_connection(request)
-        return self._json({"error": "unavailable"}, 503)
+        return self._json({"error": "unavailable"}, _REFUSALS.get(fault, 503))
 
     async def _list(self, kind: str, request: Request) -> tuple[int, Any]:
         after = request.query_params.get("sinceRevision", "")
@@ -200,18 +240,27 @@
     async def _watch(self, kind: str, request: Request) -> tuple[int, Any]:
         since = int(request.query_params["watch"])
         wait = min(MAX_WAIT, int(request.query_params.get("waitMs", "0")) / 1_000)
-        era = self.era
+        era, view = self.era, request.app.state.view
+
+        def heard() -> bool:
+            faults = (self.fault, view.fault)
+            if StoreFault.NO_HISTORY in faults:
+                return True
+            if StoreFault.MUTE_WATCHES in faults:
+                return False
+            return (
+                era != self.era
+                or not self._keeps(since)
+                or bool(self._since(kind, since))
+            )
+
         try:
             async with asyncio.timeout(wait), self._changed:
-                while (
-                    era == self.era
-                    and self._keeps(since)
-                    and not self._since(kind, since)
-                ):
-                    await self._changed.wait()
+                await self._changed.wait_for(heard)
         except TimeoutError:
             pass
-        if era != self.era or not self._keeps(since):
+        lost = StoreFault.NO_HISTORY in (self.fault, view.fault)
+        if lost or era != self.era or not self._keeps(since):
             return 410, {"error": "gone"}
         events = [
             {"object": change.item.to_dict(), "deleted": change.deleted}
--- a/tests/standins/test_metadata.py
+++ b/tests/standins/test_metadata.py
@@ -1,8 +1,9 @@
 import asyncio
 
 import aiohttp
+import msgspec
 
-from amaranthferry.standins.metadata import ERA_HEADER, MetadataStore
+from amaranthferry.standins.metadata import ERA_HEADER, MetadataStore, StoreFault
 from amaranthferry.standins.serving import serve
 
 
@@ -48,3 +49,52 @@
         await store.restore(age=60)
         status, era, _ = await asyncio.wait_for(watch, 5)
         assert (status, era) == (410, 2)
+
+
+async def test_view_fails_without_the_store_and_its_other_views():
+    store = MetadataStore()
+    await store.put("servers", "a", {})
+    views = [store.view(), store.view()]
+    async with (
+        serve(views[0].app) as first,
+        serve(views[1].app) as second,
+        aiohttp.ClientSession() as session,
+    ):
+        views[0].fault = StoreFault.LIMITED
+        assert (await get(session, f"{first}/objects/servers"))[0] == 429
+        assert (await get(session, f"{second}/objects/servers"))[0] == 200
+
+
+async def test_waiting_watch_of_a_silent_store_hears_nothing():
+    store = MetadataStore()
+    await store.put("servers", "a", {})
+    view = store.view()
+    async with serve(view.app) as base, aiohttp.ClientSession() as session:
+        url = f"{base}/objects/servers?watch=2&waitMs=20000"
+        watch = asyncio.ensure_future(get(session, url))
+        await asyncio.sleep(0.1)
+        view.fault = StoreFault.SILENT
+        await store.put("servers", "b", {})
+        assert not (await asyncio.wait({watch}, timeout=0.3))[0]
+        watch.cancel()
+
+
+async def test_muted_watch_hears_no_change_before_its_wait_is_over():
+    store = MetadataStore()
+    await store.put("servers", "a", {})
+    async with serve(store.app) as base, aiohttp.ClientSession() as session:
+        url = f"{base}/objects/servers?watch=2&waitMs=400"
+        store.fault = StoreFault.MUTE_WATCHES
+        watch = asyncio.ensure_future(get(session, url))
+        await asyncio.sleep(0.1)
+        await store.put("servers", "b", {})
+        assert not (await asyncio.wait({watch}, timeout=0.2))[0]
+        assert len((await watch)[2]["events"]) == 1
+
+
+async def test_spec_that_cannot_be_read_is_served_as_it_is():
+    store = MetadataStore()
+    await store.put("servers", "a", msgspec.Raw(b"1e999"))
+    async with serve(store.app) as base, aiohttp.ClientSession() as session:
+        async with session.get(f"{base}/objects/servers") as answer:
+            assert b'"spec":1e999' in await answer.read()
