--- a/tests/standins/test_metadata.py
+++ b/tests/standins/test_metadata.py
@@ -95,6 +95,9 @@
 async def test_spec_that_cannot_be_read_is_served_as_it_is():
     store = MetadataStore()
     await store.put("servers", "a", msgspec.Raw(b"1e999"))
-    async with serve(store.app) as base, aiohttp.ClientSession() as session:
-        async with session.get(f"{base}/objects/servers") as answer:
-            assert b'"spec":1e999' in await answer.read()
+    async with (
+        serve(store.app) as base,
+        aiohttp.ClientSession() as session,
+        session.get(f"{base}/objects/servers") as answer,
+    ):
+        assert b'"spec":1e999' in await answer.read()
