--- a/src/amaranthferry/gateway/application.py
+++ b/src/amaranthferry/gateway/application.py
@@ -152,7 +152,7 @@
         self._waiting_logged_at: Seconds = 0.0
         self._roles: tuple[dict[ShardId, HostId], tuple[ShardId, ...]] = ({}, ())
         self._performer = Performer(self)
-        self._syncs = self._create_syncs()
+        self.syncs = self._create_syncs()
         self._edge = Edge(self)
         self._frontend = Listener(self._edge, settings.frontend)
         self._readiness = Listener(self._answer_readiness, settings.readiness)
@@ -196,7 +196,7 @@
         await self._readiness.start()
         await self._frontend.start()
         await self._metrics.start()
-        for sync in self._syncs.values():
+        for sync in self.syncs.values():
             self.spawn(keep_running(sync.run))
         self.spawn(keep_running(self._join))
         self.spawn(keep_running(self._tick))
@@ -353,7 +353,7 @@
 
     def _receive(self, sender: HostId, message: Message) -> None:
         if isinstance(message, StoreUpdate | StoreUpdateRequest):
-            sync = self._syncs.get(message.kind)
+            sync = self.syncs.get(message.kind)
             if sync is not None:
                 sync.receive(sender, message)
             return
@@ -395,7 +395,7 @@
             _log.info(LogEvent.PEERS_CHANGED, hosts=len(hosts), draining=len(draining))
         live = [host for host in hosts if host not in draining]
         capable = capable_hosts(live, self._capacities)
-        for sync in self._syncs.values():
+        for sync in self.syncs.values():
             sync.set_hosts(live, capable)
         self.handle(
             MembersChanged(
--- a/src/amaranthferry/gateway/edge.py
+++ b/src/amaranthferry/gateway/edge.py
@@ -20,6 +20,7 @@
 from ..harm.digest import digest_request
 from ..http_connection import AnswerStart
 from ..platform import headers
+from ..platform.desired import CONFIG_KIND
 from ..problems import Problem
 from ..types import ModelId, PoolId, Seconds
 from .dispatching import RoutedCall
@@ -104,6 +105,7 @@
         self._app.telemetry.requests.add("", "refused", exc.code)
         age = self._app.freshness.age(self._app.clock())
         catalog = self._app.config.catalog
+        state = self._app.syncs[CONFIG_KIND].state
         _log.info(
             LogEvent.REQUEST_REFUSED,
             attempt=params.attempt,
@@ -111,6 +113,9 @@
             status=exc.status,
             version=catalog.version if catalog else None,
             belief_age=None if age is None else round(age, 3),
+            revision=state.revision,
+            source=state.source,
+            store_lost=state.store_lost,
         )
 
     async def _watch_disconnect(
--- a/src/amaranthferry/gateway/log_events.py
+++ b/src/amaranthferry/gateway/log_events.py
@@ -80,7 +80,9 @@
 
     # Decisions about requests.
     REQUEST_HELD = "request.held"  # request_id, kind, part, held_for, ends, trials
-    REQUEST_REFUSED = "request.refused"  # attempt, code, status, version, belief_age
+    # attempt, code, status, version, belief_age, revision, source, store_lost: the
+    # configuration it was judged by, and the host that confirmed it ("" for the store)
+    REQUEST_REFUSED = "request.refused"
     REQUEST_DISPATCHED = "request.dispatched"  # request_id, route, server, waited
     # request_id, route, server, runs, ages, framing, closed_by_peer, partial_event,
     # server_limit
--- a/src/amaranthferry/gateway/store_sync.py
+++ b/src/amaranthferry/gateway/store_sync.py
@@ -119,6 +119,16 @@
         self._forwarded: dict[HostId, Position] = {}
         state.on_change = self._broadcast
 
+    @property
+    def state(self) -> SyncState:
+        """Return the state that is kept in step."""
+        return self._state
+
+    @property
+    def readers(self) -> tuple[HostId, ...]:
+        """Return the hosts that read the store for all others, the first one first."""
+        return self._readers
+
     @property
     def is_reader(self) -> bool:
         """Return whether this host reads the store for the others."""
@@ -289,7 +299,7 @@
         if not self._apply(update):
             return _Result.STALE if stale else _Result.BEHIND
         self._state.require_version(update.version)
-        self._state.confirm(sent - update.age)
+        self._state.confirm(sent - update.age, source)
         return _Result.STALE if stale else _Result.CURRENT
 
     def _apply(self, update: StoreUpdate) -> bool:
--- a/src/amaranthferry/gateway/telemetry.py
+++ b/src/amaranthferry/gateway/telemetry.py
@@ -13,6 +13,7 @@
 from ..harm.subjects import SubjectState
 from ..state import HostState
 from ..types import Seconds, SubjectKind
+from .watching import SyncState
 
 if TYPE_CHECKING:
     from prometheus_client.core import Metric
@@ -193,6 +194,18 @@
             (),
             {(): -1.0 if age is None else age},
         ),
+        (
+            "state_age_seconds",
+            "Age of the read behind the objects of a kind; -1 before the first.",
+            ("kind",),
+            {(kind,): _age(sync.state, now) for kind, sync in app.syncs.items()},
+        ),
+        (
+            "store_lost",
+            "Whether this host's latest read of a kind has failed.",
+            ("kind",),
+            {(kind,): float(sync.state.store_lost) for kind, sync in app.syncs.items()},
+        ),
         ("store_calls", "Calls to the store so far.", (), {(): app.store_calls}),
         ("store_era", "Era of the store, as last seen.", (), {(): app.store_era}),
         (
@@ -242,6 +255,11 @@
     ]
 
 
+def _age(state: SyncState, now: Seconds) -> float:
+    age = state.freshness.age(now)
+    return -1.0 if age is None else age
+
+
 def _limit_gauges(state: HostState, now: Seconds) -> list[Gauge]:
     """Return the limits in force, and what this host's deciders may still send."""
     known = dict(islice(state.server_rates.in_force(), MAX_LABEL_SETS))
--- a/src/amaranthferry/gateway/watching.py
+++ b/src/amaranthferry/gateway/watching.py
@@ -17,7 +17,7 @@
     StoreClient,
     StoredObject,
 )
-from ..types import Seconds, SettingsVersion, StoreEra
+from ..types import HostId, Seconds, SettingsVersion, StoreEra
 from .freshness import Freshness, boot_time
 from .log_events import LogEvent
 
@@ -25,6 +25,8 @@
 MAX_KEPT_CHANGES = 256
 #: Lower than every revision, so that no changes since then are retained.
 NO_REVISION = -1
+#: Stands for the store itself where the source of a state is named.
+STORE = HostId("")
 _log = structlog.get_logger(__name__)
 
 
@@ -72,6 +74,8 @@
         self._unavailable = False
         self._lost_at: Seconds = 0.0
         self._read_by_others_at: Seconds | None = None
+        #: The host through which the state was last confirmed; empty for the store.
+        self.source = STORE
 
     @property
     def revision(self) -> int | None:
@@ -109,8 +113,12 @@
             required=version,
         )
 
-    def confirm(self, sent: Seconds) -> None:
-        """Record that a read sent at a time has confirmed the state."""
+    def confirm(self, sent: Seconds, source: HostId = STORE) -> None:
+        """Record that a read sent at a time has confirmed the state.
+
+        `source` is the host that made the read, or empty for a read of this host.
+        """
+        self.source = source
         if self._unavailable and self._read_by_others_at is None:
             self._read_by_others_at = sent if sent > self._lost_at else None
         if self.version >= self._required_version:
--- a/tests/gateway/test_store_eras.py
+++ b/tests/gateway/test_store_eras.py
@@ -176,7 +176,7 @@
 async def test_drill_while_a_reader_dies():
     async with settled_fleet(4) as (system, caller):
         await lose_changes(system)
-        reader = next(app for app in system.hosts if app._syncs["config"].is_reader)
+        reader = next(app for app in system.hosts if app.syncs["config"].is_reader)
         await reader.stop()
         system.urls.pop(system.hosts.index(reader))
         system.hosts.remove(reader)
--- a/tests/gateway/test_telemetry.py
+++ b/tests/gateway/test_telemetry.py
@@ -1,8 +1,10 @@
 import asyncio
 
 import aiohttp
+import structlog
 
 from amaranthferry.fallback import turn_away
+from amaranthferry.gateway import edge
 from amaranthferry.gateway.telemetry import (
     MAX_LABEL_SETS,
     OTHER_LABEL,
@@ -36,6 +38,38 @@
     assert 'amaranthferry_servers{service="engines"} 2.0' in text
 
 
+async def test_denial_is_logged_with_the_state_it_rests_on(monkeypatch):
+    log = structlog.testing.CapturingLogger()
+    monkeypatch.setattr(edge, "_log", log)
+    async with fleet(hosts=3) as (system, caller):
+        async with asyncio.timeout(5):
+            while not (followers := _followers(system)):
+                await asyncio.sleep(0.05)
+        follower = followers[0]
+        state = system.hosts[follower].syncs["config"].state
+        await caller.send("GET", "/none/x", host=follower)
+        text = await scrape(system, follower)
+    (line,) = [item.kwargs for item in log.calls if item.args == ("request.refused",)]
+    assert line["revision"] == state.revision
+    assert line["source"] in {h.settings.host for h in system.hosts if _reads(h)}
+    assert line["store_lost"] is False
+    assert 'state_age_seconds{kind="config"}' in text
+    assert 'store_lost{kind="servers"} 0.0' in text
+
+
+def _reads(app):
+    return app.syncs["config"].is_reader
+
+
+def _followers(system):
+    """Return the hosts whose state was confirmed through a reader."""
+    return [
+        number
+        for number, app in enumerate(system.hosts)
+        if not _reads(app) and app.syncs["config"].state.source
+    ]
+
+
 async def test_metrics_name_who_decides_and_what_servers_could_take():
     async with fleet() as (system, caller):
         await caller.send_prompt()
