--- a/src/amaranthferry/standins/routed.py
+++ b/src/amaranthferry/standins/routed.py
@@ -15,6 +15,7 @@
 HANG_DURATION: Seconds = 3_600.0
 #: Interval between the bytes of a stalled stream.
 STALL_INTERVAL: Seconds = 0.2
+FOREIGN_PAGE = b"<html>\n<body>no such server</body>\n</html>\n\n"
 
 
 class ServerFault(StrEnum):
@@ -33,6 +34,11 @@
     NO_ANSWER = "mute"
     UNSIGNED = "unsigned"
     WRONG_ATTEMPT_ID = "crossed"
+    #: The stream begins with its first event, whatever the caller has had.
+    RESTARTED_STREAM = "restarted"
+    EMPTY_STREAM = "empty"
+    #: The stream's body is the page of a proxy.
+    FOREIGN_STREAM = "foreign"
 
 
 _CUT_FAULTS = {
@@ -162,12 +168,18 @@
         if fault is ServerFault.REJECTED:
             return JSONResponse({"error": "no"}, status_code=422, headers=headers)
         if self.unframed:
-            body = self._body if request.method == "GET" else self._stream
-            return UnframedResponse(body(request), headers, trailer=self.trailer)
+            body = (
+                self._body(request)
+                if request.method == "GET"
+                else self._stream(request, fault)
+            )
+            return UnframedResponse(body, headers, trailer=self.trailer)
         if request.method in ("GET", "HEAD"):
             return Response(self.name.encode(), headers=headers)
         return StreamingResponse(
-            self._stream(request), headers=headers, media_type="text/event-stream"
+            self._stream(request, fault),
+            headers=headers,
+            media_type="text/event-stream",
         )
 
     async def _body(self, request: Request) -> AsyncIterator[bytes]:
@@ -194,12 +206,21 @@
             return ServerFault.RESET_STREAM
         return self.fault
 
-    async def _stream(self, request: Request) -> AsyncIterator[bytes]:
+    async def _stream(
+        self, request: Request, fault: ServerFault
+    ) -> AsyncIterator[bytes]:
         if self._is_harmful(request):
             self.on_crash()
             await asyncio.sleep(HANG_DURATION)
-        fault = self._fault_of_body(request)
+        fault = self._fault_of_body(request) if fault is self.fault else fault
+        if fault is ServerFault.EMPTY_STREAM:
+            return
+        if fault is ServerFault.FOREIGN_STREAM:
+            yield FOREIGN_PAGE
+            return
         first = int(request.headers.get("last-event-id", "-1")) + 1
+        if fault is ServerFault.RESTARTED_STREAM:
+            first = 0
         for number in range(first, self.event_count):
             while fault is ServerFault.STALLED_STREAM and number == first + 1:
                 yield b":\n"
