Decode each object of the store by itself

What callers saw: once another writer had left one entry that the decoder can't read, no change of any server was followed: new servers got nothing, gone ones everything.

Cause: a page or a watch's answer was decoded as one, so one item failed all; nesting that is too deep raises RecursionError, which ended the task that reads, twice a second. Class: what is read as one fails as one.

Fix: where an answer can't be decoded as a whole, it is split at its brackets and each item decoded alone. One that can't be read keeps its name and revision and has no spec, so it names no server; object.unreadable says which and why, once for each revision. The calm path is as before. Numbers that no server can have, and ports out of range, name no server.

--- a/src/amaranthferry/audit.py
+++ b/src/amaranthferry/audit.py
@@ -3,7 +3,7 @@
 import aiohttp
 import msgspec
 
-from .exceptions import AmaranthferryError, StoreUnavailable
+from .exceptions import DECODE_ERRORS, AmaranthferryError, StoreUnavailable
 from .objects import HttpObjectStore
 from .publish import read_history
 from .root import AuditEntry
@@ -58,7 +58,7 @@
 def _decode_entries(body: bytes, url: str) -> tuple[AuditEntry, ...]:
     try:
         return msgspec.json.decode(body, type=tuple[AuditEntry, ...])
-    except msgspec.DecodeError as exc:
+    except DECODE_ERRORS as exc:
         raise AmaranthferryError(
             f"The host {url} sent a malformed audit trail.",
             remedy="Check that --host is an entry host of this release.",
--- a/src/amaranthferry/callers.py
+++ b/src/amaranthferry/callers.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from .config import Deployment, Service, WorkClass, Workspace
-from .exceptions import RequestError
+from .exceptions import DECODE_ERRORS, RequestError
 from .tokens import estimate_tokens, prefix_hashes
 from .types import ClassId, ModelId, PoolId, PoolKind, Seconds, Tokens
 
@@ -190,7 +190,7 @@
 def _decode_chat(body: bytes) -> ChatBody:
     try:
         chat = msgspec.json.decode(body, type=ChatBody)
-    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as exc:
+    except DECODE_ERRORS as exc:
         raise RequestError(
             f"The body is no chat completion request: {exc}.",
             remedy="Send JSON with `model` and `messages` in the OpenAI format.",
--- a/src/amaranthferry/chunks.py
+++ b/src/amaranthferry/chunks.py
@@ -21,7 +21,7 @@
     WorkClass,
     Workspace,
 )
-from .exceptions import SettingsError
+from .exceptions import DECODE_ERRORS, SettingsError
 from .root import ChunkRef, Root
 from .types import ClassId, PoolId, ServerId, ServiceId, TierId, WorkspaceId
 
@@ -246,7 +246,7 @@
 def _decode(decoder: msgspec.msgpack.Decoder[Decoded], raw: bytes) -> Decoded:
     try:
         return decoder.decode(raw)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
+    except DECODE_ERRORS as exc:
         raise SettingsError(
             f"A settings chunk can't be read: {exc}.",
             remedy="Run the release that the settings were applied with, or later.",
--- a/src/amaranthferry/claim_slot.py
+++ b/src/amaranthferry/claim_slot.py
@@ -17,7 +17,7 @@
     Verdict,
     reduce_slot,
 )
-from .exceptions import AnswerLost, StoreUnavailable, VersionConflict
+from .exceptions import DECODE_ERRORS, AnswerLost, StoreUnavailable, VersionConflict
 from .objects import ObjectStore, unavailable
 from .rate_limiter import RateLimiter
 from .types import Seconds, StoreOutageRule
@@ -253,7 +253,7 @@
         try:
             data = stored.value if stored else SlotRecord().to_bytes()
             self._record = SlotRecord.from_bytes(data)
-        except msgspec.DecodeError as exc:
+        except DECODE_ERRORS as exc:
             log.error("claim record unreadable", object=self._name, error=str(exc))
             raise unavailable("the claim record is unreadable") from exc
 
--- a/src/amaranthferry/codec.py
+++ b/src/amaranthferry/codec.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from . import messages, settings_messages
-from .exceptions import FrameError
+from .exceptions import DECODE_ERRORS, FrameError
 from .messages import Message
 
 PeerMessage = (
@@ -53,7 +53,7 @@
     """Return the message in `data`; raise FrameError when it can't be decoded."""
     try:
         return _decoder.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
+    except DECODE_ERRORS as exc:
         raise FrameError(
             f"A peer sent a message that can't be read: {exc}.",
             remedy="Run the same release on every entry host.",
--- a/src/amaranthferry/engine.py
+++ b/src/amaranthferry/engine.py
@@ -16,6 +16,7 @@
     FirstTokenSeen,
     TokensSeen,
 )
+from .exceptions import DECODE_ERRORS
 from .exchange import AnswerHead, Exchange
 from .http_connection import CHECK_TIMEOUT, ServerProcess, check_process
 from .types import PoolKind, Seconds, Tokens
@@ -345,7 +346,7 @@
             return _Usage()
         try:
             body = msgspec.json.decode(bytes(self._unstreamed_body), type=_UsageBody)
-        except msgspec.DecodeError:
+        except DECODE_ERRORS:
             return _Usage()
         return body.usage or _Usage()
 
--- a/src/amaranthferry/exceptions.py
+++ b/src/amaranthferry/exceptions.py
@@ -1,7 +1,13 @@
 """Define the errors of the package; each formats its message with its remedy."""
 
+import msgspec
+
 from .types import Outcome, RefusalReason, Seconds
 
+#: What decoding bytes from outside this process may raise. Nesting that is too deep and
+#: integers with too many digits are no errors of msgspec's own.
+DECODE_ERRORS = (msgspec.DecodeError, ValueError, RecursionError)
+
 
 class AmaranthferryError(Exception):
     """Define the base of the package's errors, with a problem and its remedy."""
--- a/src/amaranthferry/gateway/broadcast.py
+++ b/src/amaranthferry/gateway/broadcast.py
@@ -9,6 +9,7 @@
 import msgspec
 import structlog
 
+from ..exceptions import DECODE_ERRORS
 from ..messages import ObjectChange, StoreUpdate
 from .log_events import LogEvent
 
@@ -54,7 +55,7 @@
             problem = "The changes are truncated or too large."
         else:
             return _decoder.decode(data)
-    except (zlib.error, msgspec.DecodeError) as exc:
+    except (zlib.error, *DECODE_ERRORS) as exc:
         problem = str(exc)
     _log.warning(LogEvent.UPDATE_UNREADABLE, kind=update.kind, problem=problem)
     return None
--- a/src/amaranthferry/gateway/log_events.py
+++ b/src/amaranthferry/gateway/log_events.py
@@ -29,6 +29,7 @@
     SERVER_SEEN = "server.seen"  # server, service, state, born
     SERVER_GONE = "server.gone"  # server
     SERVER_ENTRY_UNREADABLE = "server_entry.unreadable"  # name, revision
+    OBJECT_UNREADABLE = "object.unreadable"  # kind, name, revision, problem
     HISTORY_GONE = "watch.history_gone"  # kind, revision
     STORE_ERA_SEEN = "store.era_seen"  # era, old_era
     STORE_ERA_REFUSED = "store.era_refused"  # kind, problem
--- a/src/amaranthferry/gateway/watching.py
+++ b/src/amaranthferry/gateway/watching.py
@@ -1,7 +1,7 @@
 """Watch one kind of objects in the store and retain recent changes for peers."""
 
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
 import structlog
@@ -16,6 +16,7 @@
     Position,
     StoreClient,
     StoredObject,
+    Unreadable,
 )
 from ..types import HostId, Seconds, SettingsVersion, StoreEra
 from .freshness import Freshness, boot_time
@@ -23,6 +24,8 @@
 
 #: Changes retained for peers; a peer that is further behind reads the store itself.
 MAX_KEPT_CHANGES = 256
+#: Unreadable objects that are remembered so as not to be logged again.
+MAX_UNREADABLE = 256
 #: Lower than every revision, so that no changes since then are retained.
 NO_REVISION = -1
 #: Stands for the store itself where the source of a state is named.
@@ -215,6 +218,7 @@
     def __init__(self, store: StoreClient, state: SyncState) -> None:
         self._store = store
         self._state = state
+        self._unreadable: dict[str, int] = {}
 
     async def read(self, wait: Seconds = 0.0) -> bool:
         """Make one read and return whether it succeeded."""
@@ -248,11 +252,29 @@
             await self._list()
             return
         _check_not_older(changes.position, known)
+        self._record_unreadable(changes.unreadable)
         state.apply_changes(changes, sent)
 
+    def _record_unreadable(self, found: Iterable[Unreadable]) -> None:
+        """Log each object that can't be read once for each of its revisions."""
+        for item in found:
+            if self._unreadable.get(item.name) == item.revision:
+                continue
+            if len(self._unreadable) >= MAX_UNREADABLE:
+                self._unreadable.clear()
+            self._unreadable[item.name] = item.revision
+            _log.error(
+                LogEvent.OBJECT_UNREADABLE,
+                kind=self._state.kind,
+                name=item.name,
+                revision=item.revision,
+                problem=item.problem,
+            )
+
     async def _list(self) -> None:
         sent, known = boot_time(), self._state.position
         listing = await self._store.list(self._state.kind)
+        self._record_unreadable(listing.unreadable)
         if known is not None:
             _check_not_older(listing.position, known)
         self._state.apply_list(listing, sent)
--- a/src/amaranthferry/gossip.py
+++ b/src/amaranthferry/gossip.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from .exceptions import FrameError
+from .exceptions import DECODE_ERRORS, FrameError
 from .types import HostId, SettingsVersion, ZoneId
 
 MAX_PACKET_BYTES = 1_200
@@ -121,7 +121,7 @@
         )
     try:
         return _decoder.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
+    except DECODE_ERRORS as exc:
         raise FrameError(
             f"A membership packet can't be read: {exc}.",
             remedy="Run the same release on every entry host.",
--- a/src/amaranthferry/handshake.py
+++ b/src/amaranthferry/handshake.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from .exceptions import FrameError
+from .exceptions import DECODE_ERRORS, FrameError
 from .types import HostId
 
 PROTOCOL_VERSION = 1
@@ -144,7 +144,7 @@
 def _decode(payload: bytes, message_type: type[_HandshakeMessage]) -> _HandshakeMessage:
     try:
         return msgspec.msgpack.decode(payload, type=message_type)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
+    except DECODE_ERRORS as exc:
         raise FrameError(
             f"A peer's handshake can't be read: {exc}.",
             remedy="Check that only entry hosts connect to the peer address.",
--- a/src/amaranthferry/objects.py
+++ b/src/amaranthferry/objects.py
@@ -6,7 +6,7 @@
 import aiohttp
 import msgspec
 
-from .exceptions import StoreUnavailable
+from .exceptions import DECODE_ERRORS, StoreUnavailable
 from .memory_objects import MemoryObjectStore
 from .object_store import (
     MAX_VALUE_BYTES,
@@ -174,7 +174,7 @@
 def _decode(body: bytes, kind: Any) -> Any:
     try:
         return msgspec.json.decode(body, type=kind)
-    except msgspec.DecodeError as exc:
+    except DECODE_ERRORS as exc:
         raise unavailable("malformed answer") from exc
 
 
--- a/src/amaranthferry/orders.py
+++ b/src/amaranthferry/orders.py
@@ -11,7 +11,7 @@
 from .config import Deployment
 from .effects import Effect
 from .events import Event, SettingsApplied, Ticked
-from .exceptions import AnswerLost, StoreUnavailable, VersionConflict
+from .exceptions import DECODE_ERRORS, AnswerLost, StoreUnavailable, VersionConflict
 from .objects import ObjectStore
 from .order_plan import (
     ORDER_TIMEOUT,
@@ -177,7 +177,7 @@
             async with self._session.get(url, timeout=timeout) as response:
                 body = await response.read()
             placement = msgspec.json.decode(body, type=Placement)
-        except (aiohttp.ClientError, OSError, TimeoutError, msgspec.DecodeError):
+        except (aiohttp.ClientError, OSError, TimeoutError, *DECODE_ERRORS):
             return
         now = self._clock()
         self._handle(PlacementRead(now=now, server=server, placement=placement))
@@ -234,6 +234,6 @@
     def _is_own(self, value: bytes) -> bool:
         try:
             lease = msgspec.msgpack.decode(value, type=Lease)
-        except msgspec.DecodeError:
+        except DECODE_ERRORS:
             return False
         return lease.process == self._lease.process
--- a/src/amaranthferry/platform/desired.py
+++ b/src/amaranthferry/platform/desired.py
@@ -1,6 +1,6 @@
 """Decode the configuration and the server entries that the store holds."""
 
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
@@ -29,6 +29,8 @@
 
 CONFIG_KIND = "config"
 CONFIG_NAME = "main"
+MAX_PORT = 65_535
+MAX_PORT_DIGITS = 5
 SERVER_KIND = "servers"
 _KINDS = {
     "safe": RouteKind.SAFE,
@@ -37,6 +39,10 @@
 }
 _STATES = {"ready": ServerState.LIVE, "draining": ServerState.LEAVING}
 _MILLISECOND = 0.001
+#: Numbers above these name no server: one with more slots would get all work, and a
+#: later start can't be sent to other hosts.
+MAX_SLOTS = 2**20
+MAX_TIMESTAMP = 2**63 - 1
 #: Time that callers wait for the next event: the longest of a minimum, a multiple of
 #: the objective and a multiple of the gap objective.
 MIN_EVENT_TIMEOUT: Seconds = 2.0
@@ -112,9 +118,9 @@
     address: str
     zone: str
     state: str
-    slots: int = 1
+    slots: Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)] = 1
     warmup_left_ms: float = 0
-    born: int = 0
+    born: Annotated[int, msgspec.Meta(ge=0, le=MAX_TIMESTAMP)] = 0
     version: Any = ""
 
 
@@ -207,8 +213,10 @@
         entry = msgspec.convert(spec, _Entry)
         state = _STATES[entry.state]
         ip, _, port = entry.address.rpartition(":")
-        if not ip or not 0 < int(port) < 65_536:
+        readable = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
+        if not (ip and readable and 0 < int(port) <= MAX_PORT):
             return None
+        version = str(entry.version) if isinstance(entry.version, str | int) else ""
     except (msgspec.ValidationError, KeyError, ValueError):
         return None
     return Instance(
@@ -219,5 +227,5 @@
         slots=max(1, entry.slots),
         state=state,
         incarnation=entry.born,
-        version=str(entry.version) if isinstance(entry.version, str | int) else "",
+        version=version,
     )
--- a/src/amaranthferry/platform/store.py
+++ b/src/amaranthferry/platform/store.py
@@ -7,9 +7,15 @@
 
 import msgspec
 
-from ..exceptions import AnswerLost, StoreUnavailable, VersionConflict
+from ..exceptions import (
+    DECODE_ERRORS,
+    AnswerLost,
+    StoreUnavailable,
+    VersionConflict,
+)
 from ..http_connection import BrokenAnswer, HttpConnection
 from ..types import Seconds, StoreEra
+from .items import NotSplittable, split_items, split_members
 
 ERA_HEADER = "store-era"
 CONNECT_TIMEOUT: Seconds = 0.5
@@ -20,6 +26,7 @@
 _PAGE_LIMIT = 10_000
 
 _Body = TypeVar("_Body")
+_Item = TypeVar("_Item", "StoredObject", "Change")
 
 
 class HistoryGone(StoreUnavailable):  # noqa: N818
@@ -48,7 +55,7 @@
 
 
 class StoredObject(msgspec.Struct):
-    """Represent an object of the store."""
+    """Represent an object of the store; one that can't be read has no spec."""
 
     metadata: Metadata
     spec: Any = None
@@ -65,12 +72,21 @@
         return self.metadata.revision
 
 
+class Unreadable(msgspec.Struct, frozen=True):
+    """Name an object, or an item without a name, that can't be read, and the reason."""
+
+    name: str
+    revision: int
+    problem: str
+
+
 class Listing(msgspec.Struct):
-    """List all objects of a kind at a revision."""
+    """List all objects of a kind at a revision, and those that can't be read."""
 
     entries: list[StoredObject]
     revision: int
     era: StoreEra = StoreEra(0)
+    unreadable: list[Unreadable] = []
 
     @property
     def position(self) -> Position:
@@ -86,11 +102,12 @@
 
 
 class Changes(msgspec.Struct):
-    """List the changes of a kind up to a revision."""
+    """List the changes of a kind up to a revision, and those that can't be read."""
 
     events: list[Change]
     at: int
     era: StoreEra = StoreEra(0)
+    unreadable: list[Unreadable] = []
 
     @property
     def position(self) -> Position:
@@ -104,6 +121,11 @@
     has_more: bool = False
 
 
+class _Events(msgspec.Struct):
+    events: list[Change]
+    at: int
+
+
 class _Answer(NamedTuple):
     body: bytes
     era: StoreEra
@@ -133,21 +155,25 @@
     async def list(self, kind: str) -> Listing:
         """Read all objects of a kind, page by page."""
         entries: list[StoredObject] = []
+        unreadable: list[Unreadable] = []
         after, first = "", None
         for _ in range(_PAGE_LIMIT):
             query = f"?sinceRevision={quote(after, safe='')}" if after else ""
             answer = await self._call("GET", f"/objects/{kind}{query}")
-            page = _decode(answer.body, _Page)
+            page, left_out = _decode_items(answer.body, _Page, "entries", _read_object)
             entries += page.entries
+            unreadable += left_out
             first = first or Position(answer.era, page.at)
             if answer.era != first.era:
                 raise StoreUnavailable(
                     f"The store was restored while {kind} were listed.",
                     remedy="List the objects again.",
                 )
-            if not page.has_more or not page.entries:
-                return Listing(entries, first.revision, first.era)
-            after = page.entries[-1].metadata.name
+            if not page.has_more or not (page.entries or left_out):
+                return Listing(entries, first.revision, first.era, unreadable)
+            if not page.entries or page.entries[-1].name == after:
+                raise _unreadable_error(f"The list of {kind} ends after {after!r}.")
+            after = page.entries[-1].name
         raise _unreadable_error(
             f"The list of {kind} has more than {_PAGE_LIMIT} pages."
         )
@@ -165,8 +191,8 @@
         query = f"?watch={revision}&waitMs={int(wait * 1_000)}"
         path = f"/objects/{kind}{query}"
         answer = await self._call("GET", path, wait=wait)
-        changes = _decode(answer.body, Changes)
-        return Changes(changes.events, changes.at, answer.era)
+        found, unreadable = _decode_items(answer.body, _Events, "events", _read_event)
+        return Changes(found.events, found.at, answer.era, unreadable)
 
     async def create(self, kind: str, name: str, spec: Any) -> StoredObject:
         """Create an object; raise VersionConflict when it exists."""
@@ -294,9 +320,61 @@
 def _decode(body: bytes, kind: type[_Body]) -> _Body:
     try:
         return msgspec.json.decode(body, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+    except DECODE_ERRORS as exc:
         raise _unreadable_error(f"The store's answer can't be read: {exc}.") from exc
 
 
+def _decode_items(
+    body: bytes,
+    kind: type[_Body],
+    field: str,
+    read_item: Callable[[bytes, list[Unreadable]], _Item],
+) -> tuple[_Body, list[Unreadable]]:
+    """Decode an answer; if that fails, decode each item of a field by itself."""
+    try:
+        return msgspec.json.decode(body, type=kind), []
+    except DECODE_ERRORS as exc:
+        problem = str(exc)
+    unreadable: list[Unreadable] = []
+    try:
+        members = split_members(body)
+        raw_items = split_items(members.pop(field.encode(), b""))
+        members[field.encode()] = b"[]"
+        rest = b",".join(b'"%b":%b' % member for member in members.items())
+        answer = msgspec.json.decode(b"{%b}" % rest, type=kind)
+    except (*DECODE_ERRORS, NotSplittable) as exc:
+        reason = f"The store's answer can't be read: {problem}."
+        raise _unreadable_error(reason) from exc
+    items = getattr(answer, field)
+    for raw in raw_items:
+        try:
+            items.append(read_item(raw, unreadable))
+        except (*DECODE_ERRORS, NotSplittable) as exc:
+            unreadable.append(Unreadable("", 0, str(exc) or type(exc).__name__))
+    return answer, unreadable
+
+
+def _read_object(raw: bytes, unreadable: list[Unreadable]) -> StoredObject:
+    """Decode an object; one whose metadata alone can be read has no spec."""
+    try:
+        return msgspec.json.decode(raw, type=StoredObject)
+    except DECODE_ERRORS as exc:
+        metadata = msgspec.json.decode(
+            split_members(raw).get(b"metadata", b""), type=Metadata
+        )
+        unreadable.append(Unreadable(metadata.name, metadata.revision, str(exc)))
+        return StoredObject(metadata)
+
+
+def _read_event(raw: bytes, unreadable: list[Unreadable]) -> Change:
+    """Decode a change; one whose object can't be read has an object without a spec."""
+    try:
+        return msgspec.json.decode(raw, type=Change)
+    except DECODE_ERRORS:
+        members = split_members(raw)
+        deleted = msgspec.json.decode(members.get(b"deleted", b"false"), type=bool)
+        return Change(_read_object(members.get(b"object", b""), unreadable), deleted)
+
+
 def _unreadable_error(problem: str) -> StoreUnavailable:
     return StoreUnavailable(problem, remedy="Check the store's release.")
--- a/src/amaranthferry/poller.py
+++ b/src/amaranthferry/poller.py
@@ -9,7 +9,7 @@
 
 from .config import BackendServer
 from .events import CacheEventSeen, LoadReported
-from .exceptions import AmaranthferryError
+from .exceptions import DECODE_ERRORS, AmaranthferryError
 from .objects import HostListClient
 from .shards import servers_of
 from .types import (
@@ -118,7 +118,7 @@
             self._report_cache_events(
                 server, msgspec.json.decode(cache, type=CacheBody)
             )
-        except msgspec.DecodeError:
+        except DECODE_ERRORS:
             _log.warning("engine.report_invalid", server=server.name)
 
     def _report_load(self, server: BackendServer, load: LoadBody) -> None:
--- a/src/amaranthferry/presence.py
+++ b/src/amaranthferry/presence.py
@@ -9,7 +9,7 @@
 import structlog
 
 from .config import HostConfig
-from .exceptions import AnswerLost, StoreUnavailable, VersionConflict
+from .exceptions import DECODE_ERRORS, AnswerLost, StoreUnavailable, VersionConflict
 from .object_store import ObjectStore, StoredObject
 from .types import HostId, Seconds
 
@@ -120,7 +120,7 @@
             for stored in page:
                 try:
                     entries.append((_decoder.decode(stored.value), stored))
-                except msgspec.DecodeError:
+                except DECODE_ERRORS:
                     _log.warning("host entry can't be read", key=stored.key)
             if len(page) < PAGE_LENGTH:
                 return entries
--- a/src/amaranthferry/publish.py
+++ b/src/amaranthferry/publish.py
@@ -16,6 +16,7 @@
 from .config import Deployment
 from .draft import Draft, compare, draft_deployment, draft_drained
 from .exceptions import (
+    DECODE_ERRORS,
     AmaranthferryError,
     AnswerLost,
     SettingsError,
@@ -246,7 +247,7 @@
 def _decode_entry(stored: StoredObject) -> AuditEntry:
     try:
         return msgspec.msgpack.decode(stored.value, type=AuditEntry)
-    except msgspec.DecodeError as exc:
+    except DECODE_ERRORS as exc:
         raise SettingsError(
             f"The audit entry {stored.key!r} can't be read: {exc}.",
             remedy="Use the release that wrote it, or later.",
--- a/src/amaranthferry/root.py
+++ b/src/amaranthferry/root.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from .exceptions import SettingsError
+from .exceptions import DECODE_ERRORS, SettingsError
 from .types import ServerId, SettingsVersion
 
 ROOT_KEY = "settings/root"
@@ -101,7 +101,7 @@
     """Decode a root; raise SettingsError if it is malformed."""
     try:
         root = _decoder.decode(value)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
+    except DECODE_ERRORS as exc:
         raise SettingsError(
             f"The settings root can't be read: {exc}.",
             remedy="Apply the settings again with this release.",
--- a/tests/gateway/test_changes_in_time.py
+++ b/tests/gateway/test_changes_in_time.py
@@ -11,7 +11,7 @@
 from .changing_fleet import APPLY_BOUND, REVOKE_BOUND, changing_fleet
 from .fleet import KEY, Caller, config, entry
 
-pytestmark = pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt: kyklos-config")
+KNOWN_RED = pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt: kyklos-config")
 
 DEEP = msgspec.Raw(b"[" * 3_000 + b"]" * 3_000)
 ODD_SPECS = {
@@ -43,6 +43,7 @@
     return [app.settings.host for app in system.hosts if app.config.version < version]
 
 
+@KNOWN_RED
 async def test_change_is_in_force_in_time_though_both_readers_hear_nothing_more():
     async with changing_fleet(hosts=5) as system:
         await system.put_version()
@@ -58,6 +59,7 @@
         assert set(late) <= {system.hosts[number].settings.host for number in chosen}
 
 
+@KNOWN_RED
 async def test_denial_is_not_said_from_a_configuration_older_than_its_bound():
     async with changing_fleet(hosts=1) as system:
         async with system.judged():
@@ -70,6 +72,7 @@
         assert system.late_denials == 0
 
 
+@KNOWN_RED
 async def test_slow_store_does_not_end_the_updates():
     async with changing_fleet(hosts=3) as system:
         system.store.delay = 1.0
@@ -89,6 +92,7 @@
         assert system.served_share > 0.9
 
 
+@KNOWN_RED
 @pytest.mark.parametrize("name", ODD_SPECS)
 async def test_unreadable_entry_holds_back_no_other_server(name):
     async with changing_fleet(hosts=3) as system:
@@ -113,6 +117,7 @@
         assert status == 200
 
 
+@KNOWN_RED
 async def test_route_of_an_unknown_kind_holds_back_no_other_change():
     async with changing_fleet(hosts=3) as system:
         system.extra_routes = [
@@ -131,6 +136,7 @@
         assert system.served_share > 0.9
 
 
+@KNOWN_RED
 async def test_changes_too_large_for_one_answer_do_not_end_the_updates():
     async with changing_fleet(hosts=1) as system:
         await system.put_version()
@@ -154,6 +160,7 @@
         assert late == []
 
 
+@KNOWN_RED
 async def test_key_taken_away_with_an_unreadable_route_is_not_served():
     async with changing_fleet(hosts=1) as system:
         spec = config(2, keys=["another"])
