Apply a removal whose event names the revision of the last write

What callers saw: a server whose entry was gone kept getting requests, until the objects were listed anew.

Cause: a change counts as known if its revision isn't above the known one. The object in a removal's event may carry the revision of its last write, which is known by then.

Evidence: all cases of test_unreadable_entry_holds_back_no_other_server failed on the stand-in store, whose events are so (the port out of range too, which was never held back), and pass. Whether the users' store ever answers so isn't known.

Fix: a removal counts as made at the revision up to which the answer goes.

--- a/src/amaranthferry/gateway/watching.py
+++ b/src/amaranthferry/gateway/watching.py
@@ -5,10 +5,12 @@
 from typing import Protocol
 
 import structlog
+from msgspec.structs import replace
 
 from ..exceptions import AmaranthferryError, StoreUnavailable
 from ..messages import ObjectChange
 from ..platform.store import (
+    Change,
     Changes,
     EraRefused,
     HistoryGone,
@@ -166,7 +168,7 @@
         if changes.era != self.era:
             return
         self._mark_available(sent)
-        found = [_to_change(item.object, item.deleted) for item in changes.events]
+        found = [_read_change(item, changes.at) for item in changes.events]
         self.advance(found, changes.at)
         self.confirm(sent)
 
@@ -289,5 +291,11 @@
         )
 
 
+def _read_change(item: Change, at: int) -> ObjectChange:
+    """Return a change; a removal may name the revision of the last write before it."""
+    change = _to_change(item.object, item.deleted)
+    return replace(change, revision=at) if item.deleted else change
+
+
 def _to_change(item: StoredObject, deleted: bool = False) -> ObjectChange:
     return ObjectChange(item.name, item.revision, deleted, item.spec)
--- a/tests/gateway/test_changes_in_time.py
+++ b/tests/gateway/test_changes_in_time.py
@@ -92,7 +92,6 @@
         assert system.served_share > 0.9
 
 
-@KNOWN_RED
 @pytest.mark.parametrize("name", ODD_SPECS)
 async def test_unreadable_entry_holds_back_no_other_server(name):
     async with changing_fleet(hosts=3) as system:
