Apply a version though one of its parts can't be read

Cause: a version was decoded as one and refused as one. Class: what is read as one fails as one; what holds longest then is a key that was taken away.

Evidence: test_route_of_an_unknown_kind_holds_back_no_other_change and test_key_taken_away_with_an_unreadable_route_is_not_served failed before and pass.

Fix: routes, services, workspaces, keys and limits are each read alone where the whole can't be. A route of an unknown kind runs at most once. A route that can't be read answers 503, not run, and no shorter prefix takes its place; while a workspace or route is left out, an unknown key or path is 'not run' and no longer denied. config.part_unreadable names each of the first eight parts, config_left_out counts them.

--- a/src/amaranthferry/catalog.py
+++ b/src/amaranthferry/catalog.py
@@ -162,6 +162,29 @@
     version: str = ""
 
 
+class CatalogPart(StrEnum):
+    """Define what a configuration consists of."""
+
+    ROUTE = "route"
+    SERVICE = "service"
+    WORKSPACE = "workspace"
+    KEY = "key"
+    LIMITS = "limits"
+
+
+class LeftOut(msgspec.Struct, frozen=True, kw_only=True):
+    """Name a part of a configuration that can't be read, and the reason.
+
+    A route has the host and prefix that it is for, as far as they can be read.
+    """
+
+    part: CatalogPart
+    name: str
+    problem: str
+    host: str = ""
+    prefix: str = ""
+
+
 class Catalog(msgspec.Struct, frozen=True, kw_only=True):
     """Represent one version of the routing configuration."""
 
@@ -170,31 +193,45 @@
     services: dict[PoolId, RoutedService] = {}
     subscribers: tuple[Subscriber, ...] | None = None
     limits: CatalogLimits = CatalogLimits()
+    left_out: tuple[LeftOut, ...] = ()
 
 
 class RouteTable:
-    """Look up the routes and workspace keys of one catalog."""
+    """Look up the routes and workspace keys of one catalog.
+
+    What can't be read is told apart from what isn't there.
+    """
 
     def __init__(self, catalog: Catalog) -> None:
         self.catalog = catalog
-        self._routes: dict[str, dict[str, Route]] = {}
+        self._routes: dict[str, dict[str, Route | None]] = {}
         for route in catalog.routes:
             self._routes.setdefault(route.host, {})[route.prefix] = route
+        parts = {item.part for item in catalog.left_out}
+        for item in catalog.left_out:
+            if item.part is CatalogPart.ROUTE and item.prefix:
+                self._routes.setdefault(item.host, {})[item.prefix] = None
+        #: Whether a route or key that isn't there may be one that can't be read.
+        self.may_lack_routes = CatalogPart.ROUTE in parts
+        self.may_lack_keys = bool(parts & {CatalogPart.WORKSPACE, CatalogPart.KEY})
         subscribers = catalog.subscribers or ()
         self._keys = {key: item for item in subscribers for key in item.keys}
         self.needs_key = catalog.subscribers is not None
 
     def route(self, host: str, path: str) -> Route | None:
-        """Return the route whose prefix is the longest match for a path."""
+        """Return the route whose prefix is the longest match for a path.
+
+        A route that can't be read isn't replaced by one with a shorter prefix.
+        """
         name = host.partition(":")[0].lower()
         routes = self._routes.get(name)
         if routes is None:
             return None
         end = len(path)
         while (end := path.rfind("/", 0, end)) >= 0:
-            route = routes.get(path[: end + 1])
-            if route is not None:
-                return route
+            prefix = path[: end + 1]
+            if prefix in routes:
+                return routes[prefix]
         return None
 
     def subscriber(self, key: str) -> Subscriber | None:
--- a/src/amaranthferry/gateway/caches.py
+++ b/src/amaranthferry/gateway/caches.py
@@ -13,6 +13,8 @@
 from .log_events import LogEvent
 from .roster import ServerRoster
 
+#: Lines about the parts of one version that can't be read.
+MAX_LEFT_OUT_LINES = 8
 _log = structlog.get_logger(__name__)
 
 
@@ -63,11 +65,21 @@
         if before is not None and catalog.version <= before.version:
             return
         self.route_table = RouteTable(catalog)
+        for part in catalog.left_out[:MAX_LEFT_OUT_LINES]:
+            _log.error(
+                LogEvent.CONFIG_PART_UNREADABLE,
+                version=catalog.version,
+                part=part.part,
+                name=part.name,
+                prefix=part.prefix,
+                problem=part.problem,
+            )
         _log.info(
             LogEvent.CONFIG_APPLIED,
             version=catalog.version,
             routes=len(catalog.routes),
             revision=item.revision,
+            left_out=len(catalog.left_out),
         )
         self._on_catalog()
 
--- a/src/amaranthferry/gateway/edge.py
+++ b/src/amaranthferry/gateway/edge.py
@@ -143,6 +143,8 @@
             raise _not_ready_error("This host knows no configuration yet.")
         route = route_table.route(fields.get("host", ""), scope["path"])
         if route is None:
+            if route_table.may_lack_routes:
+                raise _not_ready_error("The path may be of a route that can't be read.")
             raise _unknown_route_error()
         subscriber = self._subscriber(route, params, arrived)
         service = route.service_for(params.attempt)
@@ -191,6 +193,8 @@
         if not self._app.freshness.is_current(now):
             raise _not_ready_error("This host can't tell whether its keys are current.")
         subscriber = route_table.subscriber(params.key)
+        if subscriber is None and route_table.may_lack_keys:
+            raise _not_ready_error("The key may be of a workspace that can't be read.")
         if subscriber is None:
             raise RequestError(
                 "The key is not known.",
--- a/src/amaranthferry/gateway/log_events.py
+++ b/src/amaranthferry/gateway/log_events.py
@@ -24,7 +24,9 @@
     LOGS_DROPPED = "logs.dropped"  # lines
 
     # State known to the host.
-    CONFIG_APPLIED = "config.applied"  # version, routes, revision
+    CONFIG_APPLIED = "config.applied"  # version, routes, revision, left_out
+    # version, part, name, prefix, problem; the first 8 of a version
+    CONFIG_PART_UNREADABLE = "config.part_unreadable"
     CONFIG_UNREADABLE = "config.unreadable"  # problem, remedy
     SERVER_SEEN = "server.seen"  # server, service, state, born
     SERVER_GONE = "server.gone"  # server
--- a/src/amaranthferry/gateway/telemetry.py
+++ b/src/amaranthferry/gateway/telemetry.py
@@ -206,6 +206,12 @@
             ("kind",),
             {(kind,): float(sync.state.store_lost) for kind, sync in app.syncs.items()},
         ),
+        (
+            "config_left_out",
+            "Parts of the configuration in force that can't be read.",
+            (),
+            {(): float(len(catalog.left_out)) if catalog else 0.0},
+        ),
         ("store_calls", "Calls to the store so far.", (), {(): app.store_calls}),
         ("store_era", "Era of the store, as last seen.", (), {(): app.store_era}),
         (
--- a/src/amaranthferry/platform/desired.py
+++ b/src/amaranthferry/platform/desired.py
@@ -1,14 +1,16 @@
 """Decode the configuration and the server entries that the store holds."""
 
-from typing import Annotated, Any
+from typing import Annotated, Any, TypeVar
 
 import msgspec
 
 from ..catalog import (
     Catalog,
     CatalogLimits,
+    CatalogPart,
     Engine,
     Instance,
+    LeftOut,
     Route,
     RoutedService,
     RouteKind,
@@ -32,6 +34,7 @@
 MAX_PORT = 65_535
 MAX_PORT_DIGITS = 5
 SERVER_KIND = "servers"
+_Part = TypeVar("_Part", bound=msgspec.Struct)
 _KINDS = {
     "safe": RouteKind.SAFE,
     "unsafe": RouteKind.UNSAFE,
@@ -90,7 +93,7 @@
 
 class _Tenant(msgspec.Struct, rename="camel"):
     name: str
-    api_keys: list[str] = []
+    api_keys: list[Any] = []
     priority: int | None = None
     unit: str = ""
     uncached_tokens: int = 0
@@ -107,10 +110,10 @@
 
 class _Desired(msgspec.Struct):
     version: int
-    routes: list[_Route]
-    services: list[_Service]
-    limits: _Limits = msgspec.field(default_factory=_Limits)
-    tenants: list[_Tenant] | None = None
+    routes: list[Any]
+    services: list[Any]
+    limits: Any = None
+    tenants: Any = None
 
 
 class _Entry(msgspec.Struct, rename="camel"):
@@ -128,45 +131,99 @@
     """Build the catalog from a stored configuration; raise SettingsError."""
     try:
         desired = msgspec.convert(spec, _Desired)
-        routes = tuple(_route(route) for route in desired.routes)
-    except (msgspec.ValidationError, KeyError) as exc:
+    except msgspec.ValidationError as exc:
         raise SettingsError(
             f"The stored configuration can't be read: {exc}.",
             remedy="Write a configuration of the documented form.",
         ) from exc
-    tenants = desired.tenants
+    left_out: list[LeftOut] = []
+    routes = _read_parts(desired.routes, _Route, CatalogPart.ROUTE, left_out)
+    services = _read_parts(desired.services, _Service, CatalogPart.SERVICE, left_out)
     return Catalog(
         version=SettingsVersion(desired.version),
-        routes=routes,
-        services={PoolId(item.name): _service(item) for item in desired.services},
-        subscribers=None
-        if tenants is None
-        else tuple(_subscriber(item) for item in tenants),
-        limits=CatalogLimits(
-            max_header=desired.limits.max_header_bytes,
-            max_body=desired.limits.max_body_bytes,
-            header_timeout=desired.limits.header_timeout_ms * _MILLISECOND,
-            idle_timeout=desired.limits.idle_timeout_ms * _MILLISECOND,
-        ),
+        routes=tuple(_route(item) for item in routes),
+        services={PoolId(item.name): _service(item) for item in services},
+        subscribers=_read_subscribers(desired.tenants, left_out),
+        limits=_read_limits(desired.limits, left_out),
+        left_out=tuple(left_out),
+    )
+
+
+def _read_parts(
+    items: list[Any], kind: type[_Part], part: CatalogPart, left_out: list[LeftOut]
+) -> list[_Part]:
+    """Return the parts that can be read, and add the others to those left out."""
+    try:
+        return msgspec.convert(items, list[kind])  # type: ignore[valid-type]
+    except msgspec.ValidationError:
+        pass
+    found = []
+    for item in items:
+        try:
+            found.append(msgspec.convert(item, kind))
+        except msgspec.ValidationError as exc:
+            left_out.append(
+                LeftOut(
+                    part=part,
+                    name=_text(item, "name"),
+                    problem=str(exc),
+                    host=_text(item, "host").lower(),
+                    prefix=_text(item, "pathPrefix"),
+                )
+            )
+    return found
+
+
+def _text(item: Any, field: str) -> str:
+    value = item.get(field) if isinstance(item, dict) else None
+    return value if isinstance(value, str) else ""
+
+
+def _read_subscribers(
+    tenants: Any, left_out: list[LeftOut]
+) -> tuple[Subscriber, ...] | None:
+    """Return the workspaces; without a list that can be read no key is known."""
+    if tenants is None:
+        return None
+    if not isinstance(tenants, list):
+        problem = f"Expected a list, not {type(tenants).__name__}."
+        left_out.append(LeftOut(part=CatalogPart.WORKSPACE, name="", problem=problem))
+        return ()
+    found = _read_parts(tenants, _Tenant, CatalogPart.WORKSPACE, left_out)
+    return tuple(_subscriber(item, left_out) for item in found)
+
+
+def _read_limits(item: Any, left_out: list[LeftOut]) -> CatalogLimits:
+    try:
+        limits = _Limits() if item is None else msgspec.convert(item, _Limits)
+    except msgspec.ValidationError as exc:
+        left_out.append(LeftOut(part=CatalogPart.LIMITS, name="", problem=str(exc)))
+        limits = _Limits()
+    return CatalogLimits(
+        max_header=limits.max_header_bytes,
+        max_body=limits.max_body_bytes,
+        header_timeout=limits.header_timeout_ms * _MILLISECOND,
+        idle_timeout=limits.idle_timeout_ms * _MILLISECOND,
     )
 
 
 def _route(item: _Route) -> Route:
+    """Return a route; one of a kind that isn't known runs at most once."""
     targets = item.backends or [_Target(item.service)]
     return Route(
         name=item.name,
         host=item.host.lower(),
         prefix=item.path_prefix,
-        kind=_KINDS[item.type],
+        kind=_KINDS.get(item.type, RouteKind.UNSAFE),
         targets=tuple(RouteTarget(PoolId(t.service), t.weight) for t in targets),
         timeout=item.timeout_ms * _MILLISECOND,
         objective=item.goal_ms * _MILLISECOND,
         gap_objective=item.gap_goal_ms * _MILLISECOND,
         event_timeout=_event_timeout(item),
         priority=item.priority,
-        max_attempts=max(1, item.max_attempts),
+        max_attempts=max(1, item.max_attempts) if item.type in _KINDS else 1,
         public=item.public,
-        resumable=item.resumable,
+        resumable=item.resumable and item.type in _KINDS,
     )
 
 
@@ -195,10 +252,14 @@
     )
 
 
-def _subscriber(item: _Tenant) -> Subscriber:
+def _subscriber(item: _Tenant, left_out: list[LeftOut]) -> Subscriber:
+    keys = tuple(key for key in item.api_keys if isinstance(key, str))
+    if len(keys) != len(item.api_keys):
+        problem = f"{len(item.api_keys) - len(keys)} keys are no text."
+        left_out.append(LeftOut(part=CatalogPart.KEY, name=item.name, problem=problem))
     return Subscriber(
         workspace=WorkspaceId(item.name),
-        keys=tuple(item.api_keys),
+        keys=keys,
         priority=item.priority,
         counts_tokens=item.unit == "tokens",
         default_cost=float(item.uncached_tokens) if item.unit == "tokens" else 1.0,
--- a/src/amaranthferry/platform/items.py
+++ b/src/amaranthferry/platform/items.py
@@ -17,7 +17,8 @@
 
 def split_items(document: bytes) -> list[bytes]:
     """Return the items of a list, or the members of an object, as they are written."""
-    depth, start, found = 0, 0, []
+    depth, start = 0, 0
+    found: list[bytes] = []
     for match in _TOKEN.finditer(document):
         token = match[0]
         if token in (b"[", b"{"):
