List the objects after two reads of changes have failed

What callers saw: 25 versions of some 0.7 MB were written while the store was away; after it the host stayed at the old one for good.

Cause: the changes since the known version are one answer, 17 MB here, which is over the limit of 16 MiB; each further read asks for the same. Class: what is read as one fails as one.

Evidence: test_changes_too_large_for_one_answer_do_not_end_the_updates failed before (no version within 6 s) and passes.

Fix: after two failed reads in a row the objects are listed: a list has each once. Calls during an outage are as many as before.

--- a/src/amaranthferry/gateway/watching.py
+++ b/src/amaranthferry/gateway/watching.py
@@ -28,6 +28,8 @@
 MAX_KEPT_CHANGES = 256
 #: Unreadable objects that are remembered so as not to be logged again.
 MAX_UNREADABLE = 256
+#: Failed reads in a row after which the objects are listed.
+MAX_FAILED_WATCHES = 2
 #: Lower than every revision, so that no changes since then are retained.
 NO_REVISION = -1
 #: Stands for the store itself where the source of a state is named.
@@ -221,9 +223,15 @@
         self._store = store
         self._state = state
         self._unreadable: dict[str, int] = {}
+        self._failures = 0
 
     async def read(self, wait: Seconds = 0.0) -> bool:
         """Make one read and return whether it succeeded."""
+        succeeded = await self._try_read(wait)
+        self._failures = 0 if succeeded else self._failures + 1
+        return succeeded
+
+    async def _try_read(self, wait: Seconds) -> bool:
         try:
             await self._read(wait)
         except EraRefused as exc:
@@ -239,7 +247,8 @@
 
     async def _read(self, wait: Seconds) -> None:
         state, known = self._state, self._state.position
-        if known is None:
+        if known is None or self._failures >= MAX_FAILED_WATCHES:
+            # A list has each object once, while all changes may be too much to read.
             await self._list()
             return
         sent = boot_time()
--- a/tests/gateway/test_changes_in_time.py
+++ b/tests/gateway/test_changes_in_time.py
@@ -134,7 +134,6 @@
         assert system.served_share > 0.9
 
 
-@KNOWN_RED
 async def test_changes_too_large_for_one_answer_do_not_end_the_updates():
     async with changing_fleet(hosts=1) as system:
         await system.put_version()
