Deny nothing from a configuration older than the bound on changes

Cause: 404 and 413 were said whatever the age of the configuration, 401 up to 4.4 s, the bound on revoked keys. Class: a 'no' is a statement about the newest state, and was said from any state.

Fix: replica/statements.py says which statement needs a state of which age. A denial needs one younger than the bound on changes, less an eighth; above it the answer is 'not run' with a Retry-After. What the configuration has is admitted as before, so an outage of the store costs no sound request. The host is ready to the balancer up to the shorter of the bounds. A denial reads nothing, so a flood of unknown routes is no flood of calls to the store.

--- a/src/amaranthferry/bodies.py
+++ b/src/amaranthferry/bodies.py
@@ -9,6 +9,9 @@
 BODY_TIMEOUT: Seconds = 30.0
 
 
+BODY_TOO_LARGE = "body_too_large"
+
+
 async def read_body(chunks: AsyncIterable[bytes], limit: int) -> bytes:
     """Return a complete body of at most `limit` bytes; raise RequestError."""
     parts: list[bytes] = []
@@ -35,5 +38,5 @@
         "The body is too large.",
         remedy=f"Send at most {limit} bytes.",
         status=413,
-        code="body_too_large",
+        code=BODY_TOO_LARGE,
     )
--- a/src/amaranthferry/gateway/application.py
+++ b/src/amaranthferry/gateway/application.py
@@ -26,6 +26,7 @@
 from ..platform.desired import CONFIG_KIND, SERVER_KIND
 from ..platform.settings import Bounds, HostSettings
 from ..platform.store import StoreClient
+from ..replica.budget import AgeBudget
 from ..running import can_rerun
 from ..shards import capable_hosts
 from ..shell import Shell
@@ -121,7 +122,10 @@
         )
         self.exchanges: dict[RequestId, RoutedExchange] = {}
         self.config = ConfigCache(self._apply_config)
-        self.freshness = Freshness(settings.bounds.revoke)
+        self.age_budget = AgeBudget.from_bounds(
+            apply=settings.bounds.apply, revoke=settings.bounds.revoke
+        )
+        self.freshness = Freshness(settings.bounds.revoke, self.age_budget)
         self.servers = ServerCache(self._apply_deployment, heartbeat=settings.heartbeat)
         self.peers: PeerNetwork | None = None
         self.telemetry = Telemetry()
--- a/src/amaranthferry/gateway/edge.py
+++ b/src/amaranthferry/gateway/edge.py
@@ -6,7 +6,7 @@
 
 import structlog
 
-from ..bodies import read_body
+from ..bodies import BODY_TOO_LARGE, read_body
 from ..catalog import (
     ANONYMOUS,
     Route,
@@ -22,6 +22,7 @@
 from ..platform import headers
 from ..platform.desired import CONFIG_KIND
 from ..problems import Problem
+from ..replica.statements import Statement
 from ..types import ModelId, PoolId, Seconds
 from .dispatching import RoutedCall
 from .exchange import BufferedAnswer, RoutedExchange, TruncatedAnswer
@@ -145,13 +146,21 @@
         if route is None:
             if route_table.may_lack_routes:
                 raise _not_ready_error("The path may be of a route that can't be read.")
+            self._check_current(Statement.UNKNOWN_ROUTE, arrived)
             raise _unknown_route_error()
         subscriber = self._subscriber(route, params, arrived)
         service = route.service_for(params.attempt)
         routed_service = route_table.catalog.services.get(service)
         if routed_service is None:
             raise _not_ready_error("The route's service is not configured.")
-        body = await read_body(_chunks(receive), route_table.catalog.limits.max_body)
+        try:
+            body = await read_body(
+                _chunks(receive), route_table.catalog.limits.max_body
+            )
+        except RequestError as exc:
+            if exc.code == BODY_TOO_LARGE:
+                self._check_current(Statement.BODY_TOO_LARGE, arrived)
+            raise
         limit = route.timeout or DEFAULT_TIMEOUT
         workspace = subscriber.workspace if subscriber else ANONYMOUS
         target = _target(scope)
@@ -183,6 +192,13 @@
         models = engine.models if engine else ()
         return call, _arrival(call, service, subscriber, models)
 
+    def _check_current(self, denial: Statement, now: Seconds) -> None:
+        """Refuse a request that a newer configuration than the known one may allow."""
+        if not self._app.freshness.may_say(denial, now):
+            raise _not_ready_error(
+                "This host can't tell whether its configuration is current."
+            )
+
     def _subscriber(
         self, route: Route, params: headers.RequestParams, now: Seconds
     ) -> Subscriber | None:
@@ -196,6 +212,7 @@
         if subscriber is None and route_table.may_lack_keys:
             raise _not_ready_error("The key may be of a workspace that can't be read.")
         if subscriber is None:
+            self._check_current(Statement.UNKNOWN_KEY, now)
             raise RequestError(
                 "The key is not known.",
                 remedy="Send a key of a workspace.",
--- a/src/amaranthferry/gateway/freshness.py
+++ b/src/amaranthferry/gateway/freshness.py
@@ -2,13 +2,10 @@
 
 import time
 
+from ..replica.budget import AgeBudget
+from ..replica.statements import Statement, may_say
 from ..types import Seconds
 
-#: Allowance for a store that answers from a state slightly older than the call.
-STALENESS_SLACK: Seconds = 0.6
-#: Fraction of the bound after which other hosts should accept new connections.
-READY_FRACTION = 0.6
-
 
 def boot_time() -> Seconds:
     """Return a monotonic time in seconds that includes time in suspension."""
@@ -18,8 +15,9 @@
 class Freshness:
     """Track when the latest read that confirmed some cached state was sent."""
 
-    def __init__(self, bound: Seconds) -> None:
+    def __init__(self, bound: Seconds, budget: AgeBudget | None = None) -> None:
         self._bound = bound
+        self._budget = budget or AgeBudget()
         self._confirmed: Seconds | None = None
 
     def confirm(self, sent: Seconds) -> None:
@@ -34,12 +32,16 @@
         """Return the age of the state, or None before the first confirmation."""
         return None if self._confirmed is None else now - self._confirmed
 
+    def may_say(self, statement: Statement, now: Seconds) -> bool:
+        """Return whether the state is recent enough for a statement."""
+        return may_say(
+            statement, self.age(now), budget=self._budget, revoke=self._bound
+        )
+
     def is_current(self, now: Seconds) -> bool:
         """Return whether the state is recent enough to admit keyed requests."""
-        age = self.age(now)
-        return age is not None and age < self._bound - STALENESS_SLACK
+        return self.may_say(Statement.KEY_IN_FORCE, now)
 
     def is_ready(self, now: Seconds) -> bool:
         """Return whether the state is recent enough to accept new connections."""
-        age = self.age(now)
-        return age is not None and age < self._bound * READY_FRACTION
+        return self.may_say(Statement.READY, now)
