Broadcast what a stand-in has read to the hosts that hear nothing

Cause: a host becomes a stand-in after its read, so what that read brought was not broadcast; the notice that followed had no changes in it, and made the others read the store, which they didn't reach.

Evidence: test_hosts_that_hear_nothing_get_at_once_what_a_stand_in_has_read failed before (14 of 15 hosts late) and passes.

Fix: the notice brings the changes since the revision known before the read.

--- a/src/amaranthferry/gateway/store_sync.py
+++ b/src/amaranthferry/gateway/store_sync.py
@@ -319,13 +319,14 @@
             return await self._wait_for_broadcast(min(left, period))
         self._pace.record_read(boot_time(), hosts=hosts)
         self._source_lost = False
+        before = self._state.revision or 0
         succeeded = await self._reader.read()
         if succeeded and not isolated:
             self._stand_in_until = boot_time() + STAND_IN_TIME
             _log.info(
                 LogEvent.READER_STOOD_IN, kind=self._state.kind, readers=self._readers
             )
-            self._broadcast(self._state.revision or 0)
+            self._broadcast(before)
         return succeeded
 
     async def _request_update(self, source: HostId) -> _Result:
--- a/tests/gateway/test_store_sync.py
+++ b/tests/gateway/test_store_sync.py
@@ -9,6 +9,7 @@
 from amaranthferry.gateway.read_pace import FLEET_READ_RATE, MIN_READ_PERIOD
 from amaranthferry.gateway.roster import RETURN_GRACE
 from amaranthferry.gateway.store_sync import (
+    BROADCAST_TIME,
     MIN_READ_PAUSE,
     StoreSync,
     choose_readers,
@@ -16,6 +17,7 @@
 from amaranthferry.gateway.watching import KindReader, SyncState
 from amaranthferry.messages import ObjectChange, StoreUpdate
 from amaranthferry.platform.store import (
+    WATCH_TIMEOUT,
     Change,
     Changes,
     HistoryGone,
@@ -36,6 +38,8 @@
         self.revision = 1
         self.unavailable = False
         self.silent_watches = False
+        #: Whether no call is answered, not even a watch that waits already.
+        self.silent = False
         self.calls = 0
         self._cuts = 0
 
@@ -54,7 +58,11 @@
         deadline = boot_time() + wait
         silent = self.silent_watches and wait
         cuts = self._cuts
-        while boot_time() < deadline and (silent or not self._since(revision)):
+        while self.silent or (
+            boot_time() < deadline and (silent or not self._since(revision))
+        ):
+            if self.silent and boot_time() >= deadline + WATCH_TIMEOUT:
+                raise StoreUnavailable("No answer.", remedy="Wait.")
             await asyncio.sleep(0.005)
             if self._cuts != cuts:
                 raise StoreUnavailable("The watch was cut.", remedy="Wait.")
@@ -232,6 +240,23 @@
     await running
 
 
+async def test_hosts_that_hear_nothing_get_at_once_what_a_stand_in_has_read():
+    network = FakeNetwork(hosts(15), wait=WATCH_WAIT)
+    running = asyncio.ensure_future(network.run(6.0))
+    await asyncio.sleep(1.0)
+    hearing = non_readers(network.hosts)[0]
+    for name, store in network.stores.items():
+        store.silent = name != hearing
+    network.put("a", {"state": "draining"})
+    async with asyncio.timeout(4.0):
+        while not network.caches[hearing].objects:
+            await asyncio.sleep(0.01)
+    await asyncio.sleep(BROADCAST_TIME)
+    late = [name for name in network.hosts if not network.caches[name].objects]
+    await running
+    assert late == []
+
+
 async def test_outage_of_the_store_costs_a_bounded_number_of_calls():
     network = FakeNetwork(hosts(60))
     running = asyncio.ensure_future(network.run(4.0))
