Go on with a stream only with the events that follow, and end it when none can

What callers saw, where a resumable stream had begun and broke off: events twice, when the next server started anew; a proxy's page in the middle of the stream; a stream framed as complete though it had ended early, when the next server's answer was empty; and no end at all, ever, when the next server answered 4xx.

Cause: what a resumed run brings was passed on without a look at its ids; any end of it was the stream's end; and an answer that is no stream was given to a caller whose answer had begun, which does nothing.

Fix: a resumed run is cut to the events after the last id that was sent, where ids are numbers; one without an id doesn't go on with it. A resumed run without any event, and any answer that is no stream, is broken: another server is tried within the route's attempts, else the caller's connection is cut. An empty run may be right, if the first one broke exactly at its end; a caller that resumes by itself is then told so, while an end that is wrong would tell no one.

--- a/src/amaranthferry/gateway/dispatching.py
+++ b/src/amaranthferry/gateway/dispatching.py
@@ -44,7 +44,7 @@
 )
 from .exchange import RoutedExchange
 from .log_events import LogEvent
-from .sse import EventReader
+from .sse import EventReader, ResumedRun, UnprovenEvent
 
 #: A lost SYN is retransmitted only after seconds; another server answers sooner.
 CONNECT_TIMEOUT: Seconds = 0.3
@@ -138,6 +138,7 @@
         self._conn: HttpConnection | None = None
         self.framing: AnswerFraming | None = None
         self._reader: EventReader | None = None
+        self._resumed: ResumedRun | None = None
         self._end: _AnswerEnd | None = None
         self._started_at: Seconds | None = None
         self._progress_at: Seconds = 0.0
@@ -354,6 +355,9 @@
             self._log(LogEvent.DISPATCH_FAILED, status=start.status)
         if self._call.streaming and _is_event_stream(start):
             return await self._relay_stream(conn, start)
+        if self._exchange.has_begun:
+            # The caller has the head of a stream, which no other answer can follow.
+            raise BrokenAnswer(f"A begun stream is answered with {start.status}.")
         return await self._relay_buffered(conn, start)
 
     def _report_limit(self, *, signed: bool) -> None:
@@ -395,7 +399,9 @@
         self, conn: HttpConnection, start: AnswerStart
     ) -> _AnswerEnd:
         """Relay a stream; a resumable one only in complete events."""
-        resumes = bool(self._exchange.last_event_id or self._call.params.last_event_id)
+        if self._exchange.last_event_id:
+            self._resumed = ResumedRun(self._exchange.last_event_id)
+        resumes = bool(self._call.params.last_event_id)
         self._exchange.begin(start)
         self._reader = reader = EventReader(complete_only=self._call.route.resumable)
         self._progress_at = self._clock()
@@ -408,6 +414,8 @@
         unframed = start.framing is AnswerFraming.CONNECTION_END
         if unframed and not (reader.has_had_event or resumes):
             raise BrokenAnswer("The stream ended before its first event.")
+        if self._resumed is not None and not reader.has_had_event:
+            raise BrokenAnswer("The resumed stream ended without an event.")
         self._from_server = self._ran
         if rest := reader.finish():
             await self._exchange.feed(rest)
@@ -435,7 +443,12 @@
             raise BrokenAnswer("The stream brings bytes, but no event.")
         if reader.partial_size > MAX_EVENT_BYTES:
             raise BrokenAnswer("An event of the stream is too long.")
-        if reader.last_event_id:
+        if self._resumed is not None:
+            try:
+                passed = self._resumed.cut(passed)
+            except UnprovenEvent as exc:
+                raise BrokenAnswer("A resumed event has no id.") from exc
+        if passed and reader.last_event_id:
             self._exchange.last_event_id = reader.last_event_id
         return passed
 
--- a/src/amaranthferry/gateway/exchange.py
+++ b/src/amaranthferry/gateway/exchange.py
@@ -69,6 +69,11 @@
         if not self.head.done():
             self.head.set_result(start)
 
+    @property
+    def has_begun(self) -> bool:
+        """Return whether the caller gets a stream whose head is settled."""
+        return self.head.done() and isinstance(self.head.result(), AnswerStart)
+
     def attach(self, writer: Writer) -> None:
         """Set the writer of a stream whose status and headers have been written."""
         self._writer = writer
--- a/src/amaranthferry/gateway/sse.py
+++ b/src/amaranthferry/gateway/sse.py
@@ -9,6 +9,39 @@
 _COMMENT = b":"
 
 
+class UnprovenEvent(Exception):  # noqa: N818
+    """Report an event that doesn't show that it follows the last one; internal."""
+
+
+class ResumedRun:
+    """Cut the events of a resumed run to those after the last one that was sent."""
+
+    def __init__(self, last_event_id: str) -> None:
+        self._last_id = last_event_id
+        self._continues = False
+
+    def cut(self, events: bytes) -> bytes:
+        """Return the events that follow; raise UnprovenEvent for one without an id."""
+        if self._continues:
+            return events
+        start = 0
+        for match in _BLANK_LINE.finditer(events):
+            event = events[start : match.end()]
+            if _has_field(event) and self._follows(event):
+                self._continues = True
+                return events[start:]
+            start = match.end()
+        return b""
+
+    def _follows(self, event: bytes) -> bool:
+        event_id = _last_id(event)
+        if event_id is None:
+            raise UnprovenEvent
+        if self._last_id.isdigit() and event_id.isdigit():
+            return int(event_id) > int(self._last_id)
+        return event_id != self._last_id
+
+
 class EventReader:
     """Read an event stream, withholding partial events if `complete_only`."""
 
@@ -52,12 +85,19 @@
         return self._buffer if self._complete_only else b""
 
     def _record_last_id(self, events: bytes) -> None:
-        if _ID not in events:
-            return
-        for line in reversed(events.splitlines()):
-            if line.startswith(_ID):
-                self.last_event_id = line[len(_ID) :].strip().decode("latin-1")
-                return
+        event_id = _last_id(events)
+        if event_id is not None:
+            self.last_event_id = event_id
+
+
+def _last_id(events: bytes) -> str | None:
+    """Return the last id that events name, or None."""
+    if _ID not in events:
+        return None
+    for line in reversed(events.splitlines()):
+        if line.startswith(_ID):
+            return line[len(_ID) :].strip().decode("latin-1")
+    return None
 
 
 def _has_field(events: bytes) -> bool:
--- a/tests/gateway/test_joined_answers.py
+++ b/tests/gateway/test_joined_answers.py
@@ -11,7 +11,6 @@
 from .fleet import Caller, entry, fleet
 
 EVENTS = 6
-KNOWN_RED = pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt: joined-streams")
 
 
 def events(body):
@@ -64,12 +63,12 @@
     "fault",
     [
         ServerFault.NONE,
-        pytest.param(ServerFault.RESTARTED_STREAM, marks=KNOWN_RED),
-        pytest.param(ServerFault.EMPTY_STREAM, marks=KNOWN_RED),
-        pytest.param(ServerFault.FOREIGN_STREAM, marks=KNOWN_RED),
+        ServerFault.RESTARTED_STREAM,
+        ServerFault.EMPTY_STREAM,
+        ServerFault.FOREIGN_STREAM,
         ServerFault.ERROR,
         ServerFault.BUSY,
-        pytest.param(ServerFault.REJECTED, marks=KNOWN_RED),
+        ServerFault.REJECTED,
         ServerFault.UNSIGNED,
         ServerFault.WRONG_ATTEMPT_ID,
         ServerFault.CUT_STREAM,
--- a/tests/gateway/test_sse.py
+++ b/tests/gateway/test_sse.py
@@ -1,6 +1,8 @@
+import re
+
 import pytest
 
-from amaranthferry.gateway.sse import EventReader
+from amaranthferry.gateway.sse import EventReader, ResumedRun, UnprovenEvent
 
 
 def test_only_complete_events_pass_where_a_stream_may_resume():
@@ -52,3 +54,33 @@
     reader.feed(b"id: 1\n\n: ping\n\n\n: ping\n")
     assert not reader.is_inside_event
     assert reader.finish() == b": ping\n"
+
+
+@pytest.mark.parametrize("size", range(1, 8))
+@pytest.mark.parametrize("end", [b"\n\n", b"\r\n\r\n"])
+def test_resumed_run_is_cut_to_the_events_after_the_last_one(size, end):
+    body = b"".join(b": note" + end + b"id: %d%b" % (n, end) for n in range(12))
+    reader, resumed = EventReader(complete_only=True), ResumedRun("9")
+    passed = b"".join(
+        resumed.cut(reader.feed(body[at : at + size]))
+        for at in range(0, len(body), size)
+    )
+    assert re.findall(rb"id: (\d+)", passed) == [b"10", b"11"]
+
+
+@pytest.mark.parametrize("event", [b"data: 1\n\n", b"<html>\n\n", b"HTTP/1.1 500\n\n"])
+def test_event_without_an_id_does_not_go_on_with_a_stream(event):
+    resumed = ResumedRun("3")
+    assert resumed.cut(b": note\n\n") == b""
+    with pytest.raises(UnprovenEvent):
+        resumed.cut(event)
+
+
+def test_event_of_a_run_that_goes_on_needs_no_id():
+    resumed = ResumedRun("3")
+    assert resumed.cut(b"id: 4\n\n") == b"id: 4\n\n"
+    assert resumed.cut(b"data: 1\n\n") == b"data: 1\n\n"
+
+
+def test_ids_that_are_no_numbers_are_told_apart_from_the_last_one_only():
+    assert ResumedRun("b").cut(b"id: b\n\nid: c\n\n") == b"id: c\n\n"
