Let the soak's store fail single hosts, answer late and hold odd objects

New faults: a store that is slow, silent for some hosts, mutes its watches and loses its history, or holds objects that can't be read. Each host reaches the store at an address of its own. New check, judged from callers: no key in force is denied later than its bound after it was confirmed, by any host, whatever else fails.

--- a/src/amaranthferry/soak/checks.py
+++ b/src/amaranthferry/soak/checks.py
@@ -7,7 +7,12 @@
 import msgspec
 
 from ..limit_check import WINDOW, LimitedServer
-from ..standins.deployment import REVOCATION_BOUND, CallKind, CallRecord
+from ..standins.deployment import (
+    APPLY_BOUND,
+    REVOCATION_BOUND,
+    CallKind,
+    CallRecord,
+)
 from ..types import HostId, Seconds
 
 #: Statuses that promise that the request has not run.
@@ -22,6 +27,7 @@
 HARMFUL_REQUEST_ENDS = 3
 HARMFUL_ARRIVALS = 3
 CONTACT_BOUND: Seconds = 3.0
+DENIALS = frozenset({401, 403, 404})
 #: Status of requests that are refused for a part of their prompt.
 HELD_STATUS = 400
 ALL_HOSTS_KILLED = "all hosts killed: hosts"
@@ -43,6 +49,7 @@
     SOUND_NOT_HELD = "sound prompts are not held"
     REVOCATION = "a revoked key is refused within its bound"
     STOP_ABORTS_NOTHING = "a planned stop cuts nothing"
+    CHANGE_IN_FORCE = "what has been confirmed is not denied after its bound"
     CONFIG_PERSISTS = "a configuration in force never reverts"
     RECOVERY = "one fleet serves again after the last fault"
 
@@ -102,6 +109,8 @@
     limits: list[NamedLimit] = []
     #: Times at which the operator's last write that revoked a key was acknowledged.
     revoked: dict[str, Seconds] = {}
+    #: Times at which the operator's first write with a key was acknowledged.
+    confirmed: dict[str, Seconds] = {}
     leaving: dict[str, Seconds] = {}
     faults: list[Span] = []
     #: Configuration versions in force on each process, in order.
@@ -128,6 +137,7 @@
         *_check_harmful(record),
         *_check_sound(record),
         *_check_revocation(record),
+        *_check_confirmed(record),
         *_check_stops(record),
         *_check_versions(record),
         *(Violation(Guarantee.RECOVERY, detail) for detail in record.unrecovered),
@@ -363,6 +373,27 @@
             )
 
 
+def _check_confirmed(record: SoakRecord) -> Iterator[Violation]:
+    """Check that no host denies a key or route later than its bound, whatever fails.
+
+    A restored store has lost what was confirmed, until the operator writes it again.
+    """
+    for call in record.calls:
+        confirmed = record.confirmed.get(call.key)
+        revoked = record.revoked.get(call.key)
+        if call.status not in DENIALS or call.signature or confirmed is None:
+            continue
+        if revoked is not None and call.ended >= revoked:
+            continue
+        age = call.sent - confirmed
+        if age >= APPLY_BOUND:
+            yield Violation(
+                Guarantee.CHANGE_IN_FORCE,
+                f"{call.attempt} at {call.host} got {call.status} "
+                f"{age:.2f} s after its key had been confirmed",
+            )
+
+
 def _check_revocation(record: SoakRecord) -> Iterator[Violation]:
     runs = _runs_by_attempt(record)
     for call in record.calls:
--- a/src/amaranthferry/soak/run.py
+++ b/src/amaranthferry/soak/run.py
@@ -25,7 +25,7 @@
     config_spec,
     server_entry,
 )
-from ..standins.metadata import MetadataStore, StoreFault
+from ..standins.metadata import MetadataStore, StoreFault, StoreView
 from ..standins.routed import ReceivedRequest, RoutedServer, ServerFault
 from ..standins.serving import serve
 from ..types import Seconds
@@ -72,6 +72,15 @@
 LIMITED_CALLS = 3.0
 _log = structlog.get_logger(__name__)
 
+#: Time that a slow store takes for an answer, and for which watches hear nothing.
+SLOW_ANSWER: Seconds = 1.0
+MUTED_TIME: Seconds = 1.0
+ODD_SPECS = (
+    b"[" * 3_000 + b"]" * 3_000,
+    b'{"slots":1e999}',
+    b'{"zone":"\\ud800"}',
+    b'{"address":"127.0.0.1:70000"}',
+)
 _STORE_FAULTS = {
     SoakFault.STORE_BUSY: StoreFault.BUSY,
     SoakFault.STORE_RESET: StoreFault.RESET,
@@ -148,6 +157,8 @@
         self._folder = folder
         self._rng = random.Random(seed)
         self._store = MetadataStore()
+        #: The store as each host reaches it.
+        self._views: list[StoreView] = []
         self._hosts: list[HostProcess] = []
         self._servers: list[_RecordingServer] = []
         self._numbers = itertools.count(1)
@@ -191,13 +202,15 @@
 
     async def _open(self) -> None:
         await self._open_sessions()
-        url = await self._stack.enter_async_context(serve(self._store.app))
-        store = url.removeprefix("http://")
         await self._write_config()
         for service in (ENGINE_SERVICE, LEDGER_SERVICE):
             for _ in range(SERVERS_PER_SERVICE[service]):
                 await self._add_server(service)
         for number in range(self._host_count):
+            view = self._store.view()
+            url = await self._stack.enter_async_context(serve(view.app))
+            self._views.append(view)
+            store = url.removeprefix("http://")
             host = HostProcess(f"host-{number}", store, self._folder)
             self._stack.push_async_callback(host.kill)
             self._hosts.append(host)
@@ -216,6 +229,8 @@
     async def _write_config(self) -> None:
         spec = config_spec(self._version, keys=self._keys)
         await self._store.put("config", "main", spec)
+        for key in self._keys:
+            self.record.confirmed.setdefault(key, self._now())
 
     async def _add_server(self, service: str) -> None:
         number = next(self._numbers)
@@ -337,6 +352,13 @@
             SoakFault.HOST_STOPPED: (host.name, lambda: self._stop(host)),
             SoakFault.STORE_RESTORED: ("store", lambda: self._restore(planned.age)),
             SoakFault.STORE_COMPACTED: ("history", self._compact),
+            SoakFault.STORE_SLOW: ("store", lambda: self._slow_store(duration)),
+            SoakFault.STORE_SILENT_FOR_SOME: (
+                "views",
+                lambda: self._silence_views(planned.index, duration),
+            ),
+            SoakFault.WATCHES_MUTE: ("store", self._mute_watches),
+            SoakFault.ODD_OBJECTS: ("objects", lambda: self._put_odd(duration)),
             SoakFault.SERVER_REPLACED: (
                 server.service,
                 lambda: self._replace(server),
@@ -411,9 +433,40 @@
         # The bound counts from the acknowledgement that stands.
         lost = {key: at for key, at in self.record.revoked.items() if at >= now - age}
         self.record.revoked.update(dict.fromkeys(lost, now))
+        self.record.confirmed.update(dict.fromkeys(self._keys, now))
         for server in self._servers:
             await self._write_server(server)
 
+    async def _slow_store(self, duration: Seconds) -> None:
+        self._store.delay = SLOW_ANSWER
+        await asyncio.sleep(duration)
+        self._store.delay = 0.0
+
+    async def _silence_views(self, index: int, duration: Seconds) -> None:
+        """Let some hosts, often both readers among them, hear nothing of the store."""
+        count = 1 + index % len(self._views)
+        silenced = random.Random(index).sample(self._views, count)
+        for view in silenced:
+            view.fault = StoreFault.SILENT
+        await asyncio.sleep(duration)
+        for view in silenced:
+            view.fault = StoreFault.NONE
+
+    async def _mute_watches(self) -> None:
+        self._store.fault = StoreFault.MUTE_WATCHES
+        await asyncio.sleep(MUTED_TIME)
+        self._store.compact_history()
+        self._store.fault = StoreFault.NONE
+
+    async def _put_odd(self, duration: Seconds) -> None:
+        """Leave objects beside the others that no decoder reads."""
+        odd = msgspec.Raw(self._rng.choice(ODD_SPECS))
+        for kind in ("servers", "config", "entryhosts"):
+            await self._store.put(kind, "odd", odd)
+        await asyncio.sleep(duration)
+        for kind in ("servers", "config", "entryhosts"):
+            await self._store.remove(kind, "odd")
+
     async def _compact(self) -> None:
         self._store.compact_history()
 
--- a/src/amaranthferry/standins/deployment.py
+++ b/src/amaranthferry/standins/deployment.py
@@ -14,6 +14,7 @@
 ENGINE_SERVICE = "engines"
 LEDGER_SERVICE = "ledger"
 REVOCATION_BOUND: Seconds = 5.0
+APPLY_BOUND: Seconds = 2.0
 GRACE_TIME: Seconds = 8.0
 HEARTBEAT: Seconds = 1.0
 #: Prompt parts: engines end when they begin an answer on the harmful one.
@@ -160,6 +161,7 @@
         "platform.address": store,
         "heartbeatMs": int(HEARTBEAT * 1_000),
         "bounds.revokeMs": int(revoke * 1_000),
+        "bounds.configApplyMs": int(APPLY_BOUND * 1_000),
         "bounds.strictRevoke": "true",
         "bounds.graceS": grace,
         "bounds.retryBudgetExtra": 100,
--- a/tests/gateway/changing_fleet.py
+++ b/tests/gateway/changing_fleet.py
@@ -11,14 +11,17 @@
 from amaranthferry.embedded import free_address
 from amaranthferry.gateway.application import Gateway
 from amaranthferry.platform.settings import HostSettings
-from amaranthferry.standins.deployment import settings_text
+from amaranthferry.standins.deployment import (
+    APPLY_BOUND,
+    REVOCATION_BOUND,
+    settings_text,
+)
 from amaranthferry.standins.serving import serve
 
 from .fleet import HOST, ROUTES, Fleet, config
 
 #: Bounds of the stand-in deployment's settings.
-APPLY_BOUND = 2.0
-REVOKE_BOUND = 5.0
+REVOKE_BOUND = REVOCATION_BOUND
 CHANGE_PERIOD = 0.9
 ASK_PERIOD = 0.15
 #: Versions whose key and route are in force at the same time.
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -314,3 +314,19 @@
     )
     guarantees = [item.guarantee for item in check_guarantees(record)]
     assert (Guarantee.LIMIT in guarantees) is violated
+
+
+@pytest.mark.parametrize(
+    ("fields", "found_it"),
+    [
+        ({"confirmed": {"key-1": 8.0}}, True),
+        ({"confirmed": {"key-1": 8.1}}, False),
+        ({"confirmed": {"key-1": 1.0}, "revoked": {"key-1": 10.5}}, False),
+        ({"confirmed": {"key-1": 1.0}, "revoked": {"key-1": 11.5}}, True),
+        ({}, False),
+    ],
+)
+def test_key_that_is_denied_later_than_its_bound_is_found(fields, found_it):
+    denied = call(status=401, signature="", complete=True)
+    guarantees = found(calls=[denied], **fields)
+    assert (Guarantee.CHANGE_IN_FORCE in guarantees) == found_it
