Say that the host isn't ready once it doesn't follow the servers any more

Cause: readiness asked for the age of the configuration alone, so a host whose reading of the servers' entries failed again and again took new connections with a list that grew older.

Evidence: test_host_that_keeps_failing_to_follow_the_store_is_not_ready[servers] failed before and passes. Both kinds rest on the same bound.

--- a/src/amaranthferry/gateway/application.py
+++ b/src/amaranthferry/gateway/application.py
@@ -173,7 +173,9 @@
         states = (
             SyncState(CONFIG_KIND, self.config, self.freshness),
             SyncState(
-                SERVER_KIND, self.servers, Freshness(self.settings.bounds.revoke)
+                SERVER_KIND,
+                self.servers,
+                Freshness(self.settings.bounds.revoke, self.age_budget),
             ),
         )
         readers = {state.kind: KindReader(self._store, state) for state in states}
@@ -312,7 +314,8 @@
         configured = self.config.route_table is not None and bool(
             self.state.deployment.pools
         )
-        fresh = self.freshness.is_ready(self.clock())
+        now = self.clock()
+        fresh = all(sync.state.freshness.is_ready(now) for sync in self.syncs.values())
         return configured and fresh and not self.stopping
 
     def can_rerun(self, request_id: RequestId) -> bool:
--- a/tests/gateway/test_unexpected_errors.py
+++ b/tests/gateway/test_unexpected_errors.py
@@ -1,8 +1,11 @@
 import asyncio
 
+import pytest
+
 from amaranthferry import core
 from amaranthferry.events import Ticked
 from amaranthferry.gateway.caches import ConfigCache
+from amaranthferry.gateway.watching import KindReader
 from amaranthferry.membership import MembershipAgent
 from amaranthferry.peers import PeerNetwork
 from amaranthferry.platform import headers
@@ -54,6 +57,26 @@
         await until(lambda: system.hosts[0].config.version == 3)
 
 
+@pytest.mark.parametrize("kind", ["config", "servers"])
+async def test_host_that_keeps_failing_to_follow_the_store_is_not_ready(
+    kind, monkeypatch
+):
+    async with fleet() as (system, caller):
+        host = system.hosts[0]
+        await until(lambda: host.is_ready)
+
+        def fail(reader, wait=0.0):
+            if reader is host.syncs[kind]._reader:
+                raise RuntimeError("unexpected")
+            return read(reader, wait)
+
+        read = KindReader.read
+        monkeypatch.setattr(KindReader, "read", fail)
+        await until(lambda: not host.is_ready)
+        monkeypatch.setattr(KindReader, "read", read)
+        await until(lambda: host.is_ready)
+
+
 async def test_lost_host_is_noticed_after_an_unexpected_error(monkeypatch):
     async with fleet(hosts=2) as (system, caller):
         first, second = system.hosts
