--- a/src/amaranthferry/gateway/application.py
+++ b/src/amaranthferry/gateway/application.py
@@ -27,27 +27,27 @@
 from ..platform.settings import Bounds, HostSettings
 from ..platform.store import StoreClient
 from ..replica.budget import AgeBudget
+from ..replica.caches import ConfigCache, ServerCache
+from ..replica.freshness import Freshness, boot_time
+from ..replica.presence import HostDirectory, HostEntry
+from ..replica.store_sync import StoreSync
+from ..replica.watching import KindReader, SyncState
 from ..running import can_rerun
 from ..shards import capable_hosts
 from ..shell import Shell
 from ..supervision import keep_running
 from ..types import HostId, RequestId, Seconds, ShardId, StoreEra
-from .caches import ConfigCache, ServerCache
 from .decisions import log_waiting
 from .dispatching import RoutedCall
 from .edge import Edge, Receive, Scope, Send
 from .exchange import RoutedExchange
-from .freshness import Freshness, boot_time
 from .joining import JoiningHosts
 from .lateness import Lateness
 from .listener import Listener
 from .log_events import LogEvent
 from .operator_api import OperatorApi, answer
 from .performer import Performer
-from .presence import HostDirectory, HostEntry
-from .store_sync import StoreSync
 from .telemetry import Telemetry
-from .watching import KindReader, SyncState
 
 TICK_PERIOD: Seconds = 0.05
 #: Time without a message after which a coordinator is no longer waited for.
--- a/src/amaranthferry/gateway/telemetry.py
+++ b/src/amaranthferry/gateway/telemetry.py
@@ -11,9 +11,9 @@
 
 from ..availability import count_servers, idle_slots, role_of
 from ..harm.subjects import SubjectState
+from ..replica.watching import SyncState
 from ..state import HostState
 from ..types import Seconds, SubjectKind
-from .watching import SyncState
 
 if TYPE_CHECKING:
     from prometheus_client.core import Metric
--- a/src/amaranthferry/platform/desired.py
+++ b/src/amaranthferry/platform/desired.py
@@ -18,6 +18,7 @@
     Subscriber,
 )
 from ..exceptions import SettingsError
+from ..replica.items import convert_items
 from ..types import (
     ModelId,
     PoolId,
@@ -153,24 +154,17 @@
     items: list[Any], kind: type[_Part], part: CatalogPart, left_out: list[LeftOut]
 ) -> list[_Part]:
     """Return the parts that can be read, and add the others to those left out."""
-    try:
-        return msgspec.convert(items, list[kind])  # type: ignore[valid-type]
-    except msgspec.ValidationError:
-        pass
-    found = []
-    for item in items:
-        try:
-            found.append(msgspec.convert(item, kind))
-        except msgspec.ValidationError as exc:
-            left_out.append(
-                LeftOut(
-                    part=part,
-                    name=_text(item, "name"),
-                    problem=str(exc),
-                    host=_text(item, "host").lower(),
-                    prefix=_text(item, "pathPrefix"),
-                )
-            )
+    found, unreadable = convert_items(items, kind)
+    left_out += (
+        LeftOut(
+            part=part,
+            name=_text(item, "name"),
+            problem=problem,
+            host=_text(item, "host").lower(),
+            prefix=_text(item, "pathPrefix"),
+        )
+        for item, problem in unreadable
+    )
     return found
 
 
--- a/src/amaranthferry/platform/store.py
+++ b/src/amaranthferry/platform/store.py
@@ -14,8 +14,14 @@
     VersionConflict,
 )
 from ..http_connection import BrokenAnswer, HttpConnection
+from ..replica.items import (
+    ItemReader,
+    NotSplittable,
+    Unreadable,
+    decode_items,
+    split_members,
+)
 from ..types import Seconds, StoreEra
-from .items import NotSplittable, split_items, split_members
 
 ERA_HEADER = "store-era"
 CONNECT_TIMEOUT: Seconds = 0.5
@@ -26,7 +32,6 @@
 _PAGE_LIMIT = 10_000
 
 _Body = TypeVar("_Body")
-_Item = TypeVar("_Item", "StoredObject", "Change")
 
 
 class HistoryGone(StoreUnavailable):  # noqa: N818
@@ -72,14 +77,6 @@
         return self.metadata.revision
 
 
-class Unreadable(msgspec.Struct, frozen=True):
-    """Name an object, or an item without a name, that can't be read, and the reason."""
-
-    name: str
-    revision: int
-    problem: str
-
-
 class Listing(msgspec.Struct):
     """List all objects of a kind at a revision, and those that can't be read."""
 
@@ -160,7 +157,7 @@
         for _ in range(_PAGE_LIMIT):
             query = f"?sinceRevision={quote(after, safe='')}" if after else ""
             answer = await self._call("GET", f"/objects/{kind}{query}")
-            page, left_out = _decode_items(answer.body, _Page, "entries", _read_object)
+            page, left_out = _read_items(answer.body, _Page, "entries", _read_object)
             entries += page.entries
             unreadable += left_out
             first = first or Position(answer.era, page.at)
@@ -191,7 +188,7 @@
         query = f"?watch={revision}&waitMs={int(wait * 1_000)}"
         path = f"/objects/{kind}{query}"
         answer = await self._call("GET", path, wait=wait)
-        found, unreadable = _decode_items(answer.body, _Events, "events", _read_event)
+        found, unreadable = _read_items(answer.body, _Events, "events", _read_event)
         return Changes(found.events, found.at, answer.era, unreadable)
 
     async def create(self, kind: str, name: str, spec: Any) -> StoredObject:
@@ -324,34 +321,14 @@
         raise _unreadable_error(f"The store's answer can't be read: {exc}.") from exc
 
 
-def _decode_items(
-    body: bytes,
-    kind: type[_Body],
-    field: str,
-    read_item: Callable[[bytes, list[Unreadable]], _Item],
+def _read_items(
+    body: bytes, kind: type[_Body], field: str, read_item: ItemReader
 ) -> tuple[_Body, list[Unreadable]]:
-    """Decode an answer; if that fails, decode each item of a field by itself."""
+    """Decode an answer, each item of a field by itself where that is needed."""
     try:
-        return msgspec.json.decode(body, type=kind), []
-    except DECODE_ERRORS as exc:
-        problem = str(exc)
-    unreadable: list[Unreadable] = []
-    try:
-        members = split_members(body)
-        raw_items = split_items(members.pop(field.encode(), b""))
-        members[field.encode()] = b"[]"
-        rest = b",".join(b'"%b":%b' % member for member in members.items())
-        answer = msgspec.json.decode(b"{%b}" % rest, type=kind)
+        return decode_items(body, kind, field, read_item)
     except (*DECODE_ERRORS, NotSplittable) as exc:
-        reason = f"The store's answer can't be read: {problem}."
-        raise _unreadable_error(reason) from exc
-    items = getattr(answer, field)
-    for raw in raw_items:
-        try:
-            items.append(read_item(raw, unreadable))
-        except (*DECODE_ERRORS, NotSplittable) as exc:
-            unreadable.append(Unreadable("", 0, str(exc) or type(exc).__name__))
-    return answer, unreadable
+        raise _unreadable_error(f"The store's answer can't be read: {exc}.") from exc
 
 
 def _read_object(raw: bytes, unreadable: list[Unreadable]) -> StoredObject:
--- a/src/amaranthferry/gateway/broadcast.py
+++ b/src/amaranthferry/replica/broadcast.py
@@ -10,8 +10,8 @@
 import structlog
 
 from ..exceptions import DECODE_ERRORS
+from ..gateway.log_events import LogEvent
 from ..messages import ObjectChange, StoreUpdate
-from .log_events import LogEvent
 
 #: Size above which changes are compressed.
 MIN_PACKED_BYTES = 1_024
--- a/src/amaranthferry/gateway/caches.py
+++ b/src/amaranthferry/replica/caches.py
@@ -6,11 +6,11 @@
 
 from ..catalog import Catalog, Instance, RouteTable
 from ..exceptions import SettingsError
+from ..gateway.log_events import LogEvent
 from ..messages import ObjectChange
 from ..platform.desired import CONFIG_NAME, read_catalog, read_instance
 from ..types import Seconds, ServerId, SettingsVersion
 from .freshness import boot_time
-from .log_events import LogEvent
 from .roster import ServerRoster
 
 #: Lines about the parts of one version that can't be read.
--- a/src/amaranthferry/gateway/freshness.py
+++ b/src/amaranthferry/replica/freshness.py
@@ -2,9 +2,9 @@
 
 import time
 
-from ..replica.budget import AgeBudget
-from ..replica.statements import Statement, may_say
 from ..types import Seconds
+from .budget import AgeBudget
+from .statements import Statement, may_say
 
 
 def boot_time() -> Seconds:
--- a/src/amaranthferry/gateway/presence.py
+++ b/src/amaranthferry/replica/presence.py
@@ -10,10 +10,10 @@
 import structlog
 
 from ..exceptions import AmaranthferryError, StoreUnavailable, VersionConflict
+from ..gateway.log_events import LogEvent
 from ..platform.store import StoreClient, StoredObject
 from ..types import HostId, Seconds
 from .freshness import boot_time
-from .log_events import LogEvent
 
 HOST_KIND = "entryhosts"
 KEY_KIND = "peerkeys"
--- a/src/amaranthferry/gateway/roster.py
+++ b/src/amaranthferry/replica/roster.py
@@ -5,8 +5,8 @@
 import structlog
 
 from ..catalog import Instance
+from ..gateway.log_events import LogEvent
 from ..types import Seconds, ServerId, ServerState
-from .log_events import LogEvent
 
 #: Time for a server whose entry expired in an outage to register again.
 RETURN_GRACE: Seconds = 2.5
--- a/src/amaranthferry/gateway/store_sync.py
+++ b/src/amaranthferry/replica/store_sync.py
@@ -22,13 +22,13 @@
 
 from ..codec import encode
 from ..fan_out import children
+from ..gateway.log_events import LogEvent
 from ..messages import Message, StoreUpdate, StoreUpdateRequest
 from ..platform.store import Position
-from ..replica.budget import AgeBudget
 from ..types import HostId, Seconds, StoreEra
 from .broadcast import pack, unpack
+from .budget import AgeBudget
 from .freshness import boot_time
-from .log_events import LogEvent
 from .read_pace import ReadPace
 from .watching import KindReader, SyncState
 
--- a/src/amaranthferry/gateway/watching.py
+++ b/src/amaranthferry/replica/watching.py
@@ -8,6 +8,7 @@
 from msgspec.structs import replace
 
 from ..exceptions import AmaranthferryError, StoreUnavailable
+from ..gateway.log_events import LogEvent
 from ..messages import ObjectChange
 from ..platform.store import (
     Change,
@@ -18,11 +19,10 @@
     Position,
     StoreClient,
     StoredObject,
-    Unreadable,
 )
 from ..types import HostId, Seconds, SettingsVersion, StoreEra
 from .freshness import Freshness, boot_time
-from .log_events import LogEvent
+from .items import Unreadable
 
 #: Changes retained for peers; a peer that is further behind reads the store itself.
 MAX_KEPT_CHANGES = 256
--- a/tests/gateway/test_changes_in_time.py
+++ b/tests/gateway/test_changes_in_time.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 
-from amaranthferry.gateway.freshness import boot_time
+from amaranthferry.replica.freshness import boot_time
 from amaranthferry.standins.metadata import StoreFault
 
 from .changing_fleet import APPLY_BOUND, REVOKE_BOUND, changing_fleet
--- a/tests/gateway/test_logs.py
+++ b/tests/gateway/test_logs.py
@@ -3,11 +3,15 @@
 import os
 from pathlib import Path
 
-from amaranthferry import gateway
+from amaranthferry import gateway, replica
 from amaranthferry.gateway.logs import MAX_BUFFERED_LINES, LineWriter
 from amaranthferry.request_trace import STATE_EVENTS, build_trace, read_lines
 
-SOURCES = sorted(Path(gateway.__file__).parent.glob("*.py"))
+SOURCES = sorted(
+    path
+    for package in (gateway, replica)
+    for path in Path(package.__file__).parent.glob("*.py")
+)
 
 
 def test_stalled_reader_does_not_block_and_dropped_lines_are_logged():
--- a/tests/gateway/test_store_eras.py
+++ b/tests/gateway/test_store_eras.py
@@ -6,7 +6,7 @@
 import pytest
 
 from amaranthferry.embedded import free_address
-from amaranthferry.gateway.roster import RETURN_GRACE
+from amaranthferry.replica.roster import RETURN_GRACE
 from amaranthferry.standins.metadata import StoreFault
 
 from .fleet import KEY, config, entry, fleet
--- a/tests/gateway/test_unexpected_errors.py
+++ b/tests/gateway/test_unexpected_errors.py
@@ -4,11 +4,11 @@
 
 from amaranthferry import core
 from amaranthferry.events import Ticked
-from amaranthferry.gateway.caches import ConfigCache
-from amaranthferry.gateway.watching import KindReader
 from amaranthferry.membership import MembershipAgent
 from amaranthferry.peers import PeerNetwork
 from amaranthferry.platform import headers
+from amaranthferry.replica.caches import ConfigCache
+from amaranthferry.replica.watching import KindReader
 
 from .fleet import config, fleet
 
--- a/tests/gateway/test_broadcast.py
+++ b/tests/replica/test_broadcast.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from amaranthferry.gateway.broadcast import pack, unpack
 from amaranthferry.messages import ObjectChange, StoreUpdate
+from amaranthferry.replica.broadcast import pack, unpack
 
 
 def update(changes, **fields):
--- a/tests/replica/test_budget.py
+++ b/tests/replica/test_budget.py
@@ -1,7 +1,5 @@
 import pytest
 
-from amaranthferry.gateway.read_pace import FLEET_READ_RATE, MIN_READ_PERIOD
-from amaranthferry.gateway.store_sync import ANSWER_TIMEOUT, READER_COUNT
 from amaranthferry.platform.store import WATCH_TIMEOUT
 from amaranthferry.replica.budget import (
     ANSWER_SHARE,
@@ -12,7 +10,9 @@
     TURN_SHARE,
     AgeBudget,
 )
+from amaranthferry.replica.read_pace import FLEET_READ_RATE, MIN_READ_PERIOD
 from amaranthferry.replica.statements import STALENESS_SLACK
+from amaranthferry.replica.store_sync import ANSWER_TIMEOUT, READER_COUNT
 
 #: Bounds on a change and on a revoked key of every site, and others.
 BOUNDS = [(2.0, 5.0), (1.0, 5.0), (4.0, 5.0), (10.0, 30.0)]
--- a/tests/gateway/test_freshness.py
+++ b/tests/replica/test_freshness.py
@@ -1,5 +1,5 @@
-from amaranthferry.gateway.freshness import Freshness
 from amaranthferry.replica.budget import AgeBudget
+from amaranthferry.replica.freshness import Freshness
 from amaranthferry.replica.statements import STALENESS_SLACK
 
 
--- a/tests/adapter/test_items.py
+++ b/tests/replica/test_items.py
@@ -7,7 +7,12 @@
 
 from amaranthferry.platform import store
 from amaranthferry.platform.desired import read_instance
-from amaranthferry.platform.items import NotSplittable, split_items, split_members
+from amaranthferry.replica.items import (
+    NotSplittable,
+    decode_items,
+    split_items,
+    split_members,
+)
 
 VALUES = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
@@ -77,9 +82,7 @@
     objects = [_object(b"odd-%d" % n, n + 1, spec) for n, spec in enumerate(odd)]
     objects.insert(min(place, len(objects)), sound)
     body = b'{"entries":[%b],"hasMore":false,"at":9}' % b",".join(objects)
-    page, unreadable = store._decode_items(
-        body, store._Page, "entries", store._read_object
-    )
+    page, unreadable = decode_items(body, store._Page, "entries", store._read_object)
     assert (page.at, page.has_more) == (9, False)
     assert len(page.entries) == len(objects)
     for item in page.entries:
@@ -96,7 +99,7 @@
     ]
     events.append(b'{"deleted":true,"object":%b}' % _object(b"sound", 8, b"{}"))
     body = b'{"events":[%b],"at":9}' % b",".join(events)
-    found, _ = store._decode_items(body, store._Events, "events", store._read_event)
+    found, _ = decode_items(body, store._Events, "events", store._read_event)
     assert found.at == 9
     assert [c.object.name for c in found.events if c.deleted] == ["sound"]
 
@@ -104,8 +107,6 @@
 def test_object_without_readable_metadata_is_left_out_and_counted():
     objects = [b'{"metadata":7,"spec":{}}', b"1e999", _object(b"sound", 1, b"{}")]
     body = b'{"entries":[%b],"at":9}' % b",".join(objects)
-    page, unreadable = store._decode_items(
-        body, store._Page, "entries", store._read_object
-    )
+    page, unreadable = decode_items(body, store._Page, "entries", store._read_object)
     assert [item.name for item in page.entries] == ["sound"]
     assert [item.name for item in unreadable] == ["", ""]
--- a/tests/gateway/test_read_pace.py
+++ b/tests/replica/test_read_pace.py
@@ -1,4 +1,4 @@
-from amaranthferry.gateway.read_pace import (
+from amaranthferry.replica.read_pace import (
     FLEET_READ_RATE,
     MIN_READ_PERIOD,
     ReadPace,
--- a/tests/gateway/test_roster.py
+++ b/tests/replica/test_roster.py
@@ -1,7 +1,7 @@
 import pytest
 
 from amaranthferry.catalog import Instance
-from amaranthferry.gateway.roster import RETURN_GRACE, ServerRoster
+from amaranthferry.replica.roster import RETURN_GRACE, ServerRoster
 from amaranthferry.types import ServerState
 
 
--- a/tests/gateway/test_store_sync.py
+++ b/tests/replica/test_store_sync.py
@@ -3,18 +3,7 @@
 import pytest
 
 from amaranthferry.exceptions import StoreUnavailable
-from amaranthferry.gateway import caches, watching
 from amaranthferry.gateway.application import WATCH_WAIT
-from amaranthferry.gateway.freshness import Freshness, boot_time
-from amaranthferry.gateway.read_pace import FLEET_READ_RATE, MIN_READ_PERIOD
-from amaranthferry.gateway.roster import RETURN_GRACE
-from amaranthferry.gateway.store_sync import (
-    BROADCAST_TIME,
-    MIN_READ_PAUSE,
-    StoreSync,
-    choose_readers,
-)
-from amaranthferry.gateway.watching import KindReader, SyncState
 from amaranthferry.messages import ObjectChange, StoreUpdate
 from amaranthferry.platform.store import (
     WATCH_TIMEOUT,
@@ -25,6 +14,17 @@
     Metadata,
     StoredObject,
 )
+from amaranthferry.replica import caches, watching
+from amaranthferry.replica.freshness import Freshness, boot_time
+from amaranthferry.replica.read_pace import FLEET_READ_RATE, MIN_READ_PERIOD
+from amaranthferry.replica.roster import RETURN_GRACE
+from amaranthferry.replica.store_sync import (
+    BROADCAST_TIME,
+    MIN_READ_PAUSE,
+    StoreSync,
+    choose_readers,
+)
+from amaranthferry.replica.watching import KindReader, SyncState
 
 KIND = "servers"
 #: Bound on applying a change, on the deployments where it is smallest.
--- a/tests/test_wire_format.py
+++ b/tests/test_wire_format.py
@@ -26,7 +26,7 @@
     root,
     status,
 )
-from amaranthferry.gateway import presence as gateway_presence
+from amaranthferry.replica import presence as gateway_presence
 
 PEER_MESSAGES = codec.PeerMessage
 PACKETS = gossip.AnyPacket
