Bound what readers, stand-ins and silent hosts cost a change together

What callers would have seen: a version not in force 2.0 s after its confirmation, at hosts that had reached the store and their peers for 3 s, once readers and stand-ins failed together.

Found by a property test in virtual time, test_in_force.py: the real synchronization of 3 to 40 hosts under random, overlapping faults (store silent, refusing, slow, hosts cut off, killed, watches mute, history gone), each confirmed version judged at each host in touch.

--- a/src/amaranthferry/replica/store_sync.py
+++ b/src/amaranthferry/replica/store_sync.py
@@ -118,7 +118,7 @@
         self._stand_in_until: Seconds = 0.0
         self._stand_ins: dict[HostId, Seconds] = {}
         self._forwarded: dict[HostId, Position] = {}
-        #: Whether the host that this one asks first has lost the store since.
+        #: Whether a host that the state may rest on has lost the store since.
         self._source_lost = False
         state.on_change = self._broadcast
         state.on_lost = self._broadcast_loss
@@ -215,15 +215,17 @@
         return self._readers[0] == self._host
 
     async def _confirm(self, watch: asyncio.Future[bool]) -> bool:
-        """Confirm the state through the first reader, or by a read as that one.
+        """Confirm the state through a reader of a higher rank, or else by a read.
 
         Return whether the watch is to be kept.
         """
-        if not self._is_first:
-            if await self._request_from_sources() is _Result.CURRENT:
+        if self._is_first:
+            if not self._is_due():
+                return True
+        else:
+            asked = map(self._request_update, self._higher_readers())
+            if _Result.CURRENT in await asyncio.gather(*asked):
                 return True
-        elif not self._is_due():
-            return True
         before = self._state.last_change
         if not await self._read_or_report_loss():
             await self._request_from_sources()
@@ -232,6 +234,21 @@
             return watch.done()
         return True
 
+    def _higher_readers(self) -> list[HostId]:
+        """Return the readers that rank above this host, then the stand-ins that do.
+
+        Two of them that took each other's word would not notice that neither reads.
+        """
+        if self._host in self._readers:
+            return list(self._readers[: self._readers.index(self._host)])
+        now = boot_time()
+        stand_ins = sorted(
+            host
+            for host, until in self._stand_ins.items()
+            if until > now and host < self._host and host not in self._readers
+        )
+        return [*self._readers, *stand_ins]
+
     def _is_due(self) -> bool:
         age = self._state.freshness.age(boot_time())
         return age is None or age >= self._confirm_after
@@ -250,14 +267,22 @@
             read.cancel()
 
     async def _request_from_sources(self) -> _Result:
-        """Request an update from each source, until one has current state."""
+        """Request an update from each source, until one has current state.
+
+        Once one is silent the others are asked together, so that their timeouts don't
+        add up. The result is SILENT only if no other host answers at all.
+        """
+        sources = self._sources()
         results = {_Result.SILENT}
-        for source in self._sources():
+        for number, source in enumerate(sources, 1):
             result = await self._request_update(source)
-            if result in (_Result.CURRENT, _Result.BEHIND):
-                return result
             results.add(result)
-        return _Result.STALE if _Result.STALE in results else _Result.SILENT
+            if result is _Result.SILENT:
+                rest = map(self._request_update, sources[number:])
+                results.update(await asyncio.gather(*rest, self._reach_bystander()))
+            if result is not _Result.STALE:
+                break
+        return min(results, key=list(_Result).index)
 
     async def _sync_from_readers(self) -> bool:
         """Request an update from each source in turn; fall back to the store."""
@@ -269,8 +294,7 @@
             return await self._wait_for_broadcast(self._budget.request_period)
         if result is _Result.BEHIND:
             return await self._catch_up()
-        isolated = result is _Result.SILENT and not await self._is_reached()
-        return await self._read_at_pace(isolated=isolated)
+        return await self._read_at_pace(isolated=result is _Result.SILENT)
 
     def _sources(self) -> list[HostId]:
         """Return the hosts that read the store, the latest stand-ins first."""
@@ -279,13 +303,17 @@
         sources = dict.fromkeys([*reversed(stand_ins), *self._readers])
         return [host for host in sources if host != self._host]
 
-    async def _is_reached(self) -> bool:
-        """Return whether any other host answers; if not, this host is cut off."""
+    async def _reach_bystander(self) -> _Result:
+        """Return whether a host that is no source answers; if not, SILENT.
+
+        Its state isn't taken as current, since it may wait for the same sources.
+        """
         sources = self._sources()
         others = [host for host in self._others if host not in sources]
         if not others:
-            return False
-        return await self._request_update(random.choice(others)) is not _Result.SILENT
+            return _Result.SILENT
+        result = await self._request_update(random.choice(others))
+        return _Result.SILENT if result is _Result.SILENT else _Result.STALE
 
     async def _wait_for_broadcast(self, limit: Seconds) -> bool:
         """Wait for the time of the next request; read the store if one is needed."""
@@ -315,8 +343,11 @@
         hosts = 1 if isolated else len(self._others) + 1
         left = self._pace.time_left(boot_time(), hosts=hosts)
         if left:
-            period = self._budget.request_period
-            return await self._wait_for_broadcast(min(left, period))
+            position, period = self._state.position, self._budget.request_period
+            succeeded = await self._wait_for_broadcast(min(left, period))
+            heard = self._wake.is_set() or self._state.position != position
+            if heard or left > period:
+                return succeeded
         self._pace.record_read(boot_time(), hosts=hosts)
         self._source_lost = False
         before = self._state.revision or 0
@@ -404,12 +435,12 @@
         self._wake.set()
 
     def _handle_loss(self, source: HostId) -> None:
-        """Have this host read in its turn if the host it asks first has lost the store.
+        """Have this host read in its turn, if its state rests on what was lost.
 
-        What another reader says meanwhile may rest on that one's reads.
+        What another source says meanwhile may rest on the same reader's reads.
         """
         self._stand_ins.pop(source, None)
-        if source in self._readers:
+        if source in (*self._readers, self._state.source):
             self._source_lost = True
             self._wake.set()
 
