Don't take a late answer for an outage, nor stop asking until a far turn

Found when the diff was read; neither has been seen by a caller.

- A read that was late marked the store as unavailable to the roster too, so that removals were deferred for 2.5 s after its answer: a server that leaves without saying so would get requests for so long.
Only the readers' word is affected by lateness now.
- After the notice of a lost reader a host asked no source until its own turn to read, 18 s among 370 hosts if nobody stood in.
It asks again after one period, 0.8 s.

test_removal_after_a_late_answer_is_not_deferred and test_host_asks_again_if_nobody_stands_in_for_a_reader_that_was_lost failed before and pass.

--- a/src/amaranthferry/replica/store_sync.py
+++ b/src/amaranthferry/replica/store_sync.py
@@ -118,8 +118,8 @@
         self._stand_in_until: Seconds = 0.0
         self._stand_ins: dict[HostId, Seconds] = {}
         self._forwarded: dict[HostId, Position] = {}
-        #: Whether a host that the state may rest on has lost the store since.
-        self._source_lost = False
+        #: Until when no source is asked, since one has just lost the store.
+        self._unasked_until: Seconds = 0.0
         state.on_change = self._broadcast
         state.on_lost = self._broadcast_loss
 
@@ -259,7 +259,7 @@
         late_after = self._budget.late_after(self._reader.latency)
         try:
             if not (await asyncio.wait({read}, timeout=late_after))[0]:
-                self._state.mark_unavailable(
+                self._state.mark_late(
                     f"The store has not answered for {late_after:.2f} s."
                 )
             return await read
@@ -286,7 +286,7 @@
 
     async def _sync_from_readers(self) -> bool:
         """Request an update from each source in turn; fall back to the store."""
-        if self._source_lost:
+        if boot_time() < self._unasked_until:
             return await self._read_at_pace(isolated=False)
         result = await self._request_from_sources()
         if result is _Result.CURRENT:
@@ -349,7 +349,7 @@
             if heard or left > period:
                 return succeeded
         self._pace.record_read(boot_time(), hosts=hosts)
-        self._source_lost = False
+        self._unasked_until = 0.0
         before = self._state.revision or 0
         succeeded = await self._reader.read()
         if succeeded and not isolated:
@@ -417,7 +417,7 @@
         if update.store_lost:
             self._handle_loss(source)
             return
-        self._source_lost = False
+        self._unasked_until = 0.0
         if source not in self._readers:
             if self._stand_ins.pop(source, 0.0) < boot_time():
                 self._wake.set()
@@ -441,7 +441,7 @@
         """
         self._stand_ins.pop(source, None)
         if source in (*self._readers, self._state.source):
-            self._source_lost = True
+            self._unasked_until = boot_time() + self._budget.request_period
             self._wake.set()
 
     def _broadcast_loss(self) -> None:
--- a/src/amaranthferry/replica/watching.py
+++ b/src/amaranthferry/replica/watching.py
@@ -219,13 +219,17 @@
 
     def mark_unavailable(self, problem: str) -> None:
         """Record that the store cannot be read from this host."""
+        self.mark_late(problem)
+        self._cache.mark_store_unavailable()
+
+    def mark_late(self, problem: str) -> None:
+        """Record that an answer is late; the cache takes the store for available."""
         if not self._unavailable:
             _log.warning(LogEvent.STORE_LOST, kind=self.kind, problem=problem)
             self._unavailable = True
             self._lost_at = boot_time()
             self._read_by_others_at = None
             self.on_lost()
-        self._cache.mark_store_unavailable()
 
     def _mark_available(self, sent: Seconds) -> None:
         if self._unavailable:
--- a/tests/replica/test_store_sync.py
+++ b/tests/replica/test_store_sync.py
@@ -354,6 +354,38 @@
     await running
 
 
+def test_removal_after_a_late_answer_is_not_deferred(monkeypatch):
+    clock = [100.0]
+    for module in (watching, caches):
+        monkeypatch.setattr(module, "boot_time", lambda: clock[0])
+    cache = caches.ServerCache(lambda: None)
+    state = SyncState(KIND, cache, Freshness(5.0))
+    entry = {"service": "a", "address": "b:1", "zone": "z", "slots": 1, "born": 1}
+    item = StoredObject(Metadata("s", 1), {**entry, "state": "ready", "sequence": 1})
+    state.apply_list(Listing([item], 1), clock[0])
+    state.mark_late("No answer for 0.5 s.")
+    assert state.store_lost
+    gone = Change(StoredObject(Metadata("s", 2)), deleted=True)
+    state.apply_changes(Changes([gone], 2), clock[0])
+    assert not state.store_lost
+    assert not cache.roster.instances
+
+
+async def test_host_asks_again_if_nobody_stands_in_for_a_reader_that_was_lost():
+    network = FakeNetwork(hosts(4), wait=WATCH_WAIT)
+    name = non_readers(network.hosts)[0]
+    sync = network.syncs[name]
+    running = asyncio.ensure_future(network.run(4.0))
+    await asyncio.sleep(1.0)
+    # Among so many hosts its own turn to read comes only after 20 s.
+    sync._others = tuple(f"other-{number}" for number in range(400))
+    lost = StoreUpdate(0, KIND, 1, 1, 0.0, (), store_lost=True)
+    sync.receive(choose_readers(network.hosts)[0], lost)
+    await asyncio.sleep(SMALLEST_APPLY_BOUND)
+    assert network.age(name) < SMALLEST_APPLY_BOUND
+    await running
+
+
 async def test_state_is_not_confirmed_while_the_store_is_unavailable():
     network = FakeNetwork(hosts(3))
     running = asyncio.ensure_future(network.run(1.0))
