--- a/src/amaranthferry/gateway/application.py
+++ b/src/amaranthferry/gateway/application.py
@@ -170,17 +170,16 @@
         return cls(settings)
 
     def _create_syncs(self) -> dict[str, StoreSync]:
-        states = (
-            SyncState(CONFIG_KIND, self.config, self.freshness),
-            SyncState(
-                SERVER_KIND,
-                self.servers,
-                Freshness(self.settings.bounds.revoke, self.age_budget),
-            ),
+        config = SyncState(CONFIG_KIND, self.config, self.freshness)
+        servers = SyncState(
+            SERVER_KIND,
+            self.servers,
+            Freshness(self.settings.bounds.revoke, self.age_budget),
         )
+        states = (config, servers)
         readers = {state.kind: KindReader(self._store, state) for state in states}
-        for state, other in (states, states[::-1]):
-            readers[state.kind].on_read = other.confirm_unchanged
+        readers[CONFIG_KIND].on_read = servers.confirm_unchanged
+        readers[SERVER_KIND].on_read = config.confirm_unchanged
         return {
             state.kind: StoreSync(
                 self.settings.host,
--- a/src/amaranthferry/replica/budget.py
+++ b/src/amaranthferry/replica/budget.py
@@ -16,9 +16,10 @@
 CONFIRM_SHARE = 0.3
 ANSWER_SHARE = 0.25
 NOTICE_SHARE = 0.05
-ORDER_SHARE = 0.05
 TURN_SHARE = 0.25
 SPREAD_SHARE = 0.1
+#: What a kind of the next order waits longer for a read of its own.
+ORDER_SHARE = 0.05
 #: Largest part of the time until an answer counts as late, where a store answers slowly.
 MAX_ANSWER_SHARE = 0.6
 #: Age up to which a host believes a reader: it covers a read, its answer, and the time
