--- a/src/amaranthferry/replica/store_sync.py
+++ b/src/amaranthferry/replica/store_sync.py
@@ -62,7 +62,7 @@
 
 
 class _Result(Enum):
-    """Classify the answer to a request for an update."""
+    """Classify the answer to a request for an update, the best one first."""
 
     CURRENT = "current"
     BEHIND = "behind"
