--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -269,13 +269,18 @@
         self.host, self.route, self.rate = host, route, rate
         self.record, self.tenant = record, tenant
         self.sent = []
+        self._stopped = False
         self._idle = [Client(host.frontend) for _ in range(clients)]
         self._tasks = set()
 
+    def stop(self):
+        """Send nothing more."""
+        self._stopped = True
+
     async def run(self, seconds):
         until = time.monotonic() + seconds
         due = time.monotonic() + random.random() / self.rate
-        while due < until:
+        while due < until and not self._stopped:
             await asyncio.sleep(max(0.0, due - time.monotonic()))
             due += 1.0 / self.rate
             if self._idle:
--- a/review/lib/system.py
+++ b/review/lib/system.py
@@ -44,6 +44,12 @@
     async def stop(self):
         await self._http.stop()
 
+    async def go_away(self):
+        """Be down: calls are reset, also those that wait."""
+        self.away = True
+        for channel in list(self._waiting):
+            channel.reset()
+
     # What the operator and the servers do.
 
     def put(self, kind, name, spec):
@@ -114,6 +120,7 @@
     async def _answer(self, request):
         self.on_call(request)
         if self.away:
+            request.channel.reset()
             return False
         parts = urlsplit(request.target)
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
