--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,101 +1,95 @@
-"""A store comes back from a copy, and a machine restarts: it serves a revoked key."""
+"""The desired state changes again and again; all machines end for their memory."""
 
 import asyncio
-import collections
+import itertools
+import json
 import sys
-import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "lib"))
 
-from deployment import KEYS, TENANTS, desired, send  # noqa: E402
+from deployment import HOSTNAME, LEDGER, Load, desired  # noqa: E402
 from fleet import Fleet  # noqa: E402
-from system import BOUNDS, run_case  # noqa: E402
-from wire import Client  # noqa: E402
+from system import run_case  # noqa: E402
 
-REVOKED = TENANTS[1]
-REVOKE_S = BOUNDS["revokeMs"] / 1_000
-#: The copy is so old when the store comes back from it, after being away so long.
-COPY_AGE_S, AWAY_S = 6.5, 0.5
-#: The operator has written everything again so long after the store came back.
-REWRITE_S = 3.0
+RATES = {"submit-budget": 60.0, "fetch-budget": 30.0}
+#: As in the site file: `big_config` count 350; `config_storm` for_s 4.0, gap_s 0.33.
+GROWTHS, ROUTES_MORE = 6, 350
+STORMS, STORM_S, GAP_S, PAUSE_S = 12, 4.0, 0.33, 1.0
 
 
 async def case(record, temporary, trouble):
-    async with Fleet(record, temporary) as fleet:
-        sent = []
-        clients = [
-            asyncio.create_task(use_key(fleet, host, record, sent))
+    async with Fleet(record, temporary, work=0.08, events=12) as fleet:
+        loads = [
+            Load(host, name, rate, record)
             for host in fleet.hosts
+            for name, rate in RATES.items()
         ]
-        await asyncio.sleep(1.0)
-        copy = fleet.store.copy()
-        copied_at = time.monotonic()
-        state = desired(8, keys={**KEYS, REVOKED: None})
-        ack = fleet.store.put("config", "main", state)
-        record("operator  version 8 takes the key away; acknowledged")
-        await asyncio.sleep(COPY_AGE_S - AWAY_S - (time.monotonic() - copied_at))
+        tasks = [asyncio.create_task(load.run(85.0)) for load in loads]
+        await asyncio.sleep(2.0)
+        changes = 0
         if trouble:
-            await drill(record, fleet, copy)
-        await asyncio.sleep(REWRITE_S)
-        fleet.store.put("config", "main", state)
-        record("operator  everything is written again")
-        await asyncio.sleep(1.5)
-        for task in clients:
-            task.cancel()
-        await asyncio.gather(*clients, return_exceptions=True)
-        return judge(record, fleet, sent, ack)
-
-
-async def drill(record, fleet, copy):
-    """The store is away for a moment, and a process is killed and starts meanwhile."""
-    first = first_reader(fleet)
-    await fleet.store.go_away()
-    record("store     away")
-    await asyncio.sleep(AWAY_S)
-    fleet.store.restore(copy)
-    fleet.store.away = False
-    for server in fleet.servers:
-        fleet.store.put("servers", server.name, server.entry())
-    record("store     back from a copy; the servers have written again")
-    first.kill()
-    record(f"platform  {first.name} is killed and started")
-    await asyncio.sleep(0.2)
-    first.start()
-
-
-def first_reader(fleet):
-    """Return the machine that the logs name as the first reader of the store."""
-    for line in reversed(fleet.hosts[0].log_lines()):
-        if '"readers.changed"' in line:
-            name = line.partition('"readers": ["')[2].partition('"')[0]
-            return next(host for host in fleet.hosts if host.name == name)
-    return fleet.hosts[0]
-
-
-async def use_key(fleet, host, record, sent):
-    """Go on with the key, whatever the answers are."""
-    client = Client(host.frontend)
-    while True:
-        found = await send(client, host, "fetch-budget", record, tenant=REVOKED)
-        sent.append(found)
-        await asyncio.sleep(0.1)
-
-
-def judge(record, fleet, sent, ack):
-    """CONFIG: sent later than `revokeMs` after the ack, and run."""
-    runs = fleet.runs()
-    late = [item for item in sent if item.at > ack + REVOKE_S]
-    wrong = [item for item in late if item.attempt in runs]
-    for item in wrong:
-        record(f"revoked   {item.attempt} ran, sent {item.at - ack:.2f} s after the ack")
-    by_host = dict(collections.Counter(item.host.name for item in wrong))
-    text = (
-        f"{len(wrong)} of {len(late)} requests with the key, sent later than"
-        f" {REVOKE_S:g} s after its revocation was acknowledged, have run {by_host}"
+            changes = await change(record, fleet)
+        else:
+            await asyncio.sleep(40.0)
+        for load in loads:
+            load.stop()
+        await asyncio.gather(*tasks)
+        sent = [item for load in loads for item in load.sent]
+        lost = fleet.lost(sent, fleet.runs())
+        text = f"{fleet.describe(lost)}; changes: {changes}"
+        return len(lost) > 3, text
+
+
+async def change(record, fleet):
+    """Let the desired state grow, then change it in storms, until processes end."""
+    versions = itertools.count(8)
+    more = []
+    changes = 0
+    for _ in range(GROWTHS):
+        more += [route(len(more) + number) for number in range(ROUTES_MORE)]
+        changes += write(record, fleet, desired(next(versions), more=more))
+        await asyncio.sleep(1.0)
+    for storm in range(STORMS):
+        record(f"operator  storm {storm + 1}")
+        for number in range(int(STORM_S / GAP_S) + 1):
+            more[0]["timeoutMs"] = 2500 + number
+            changes += write(record, fleet, desired(next(versions), more=more))
+            await asyncio.sleep(GAP_S)
+        await asyncio.sleep(PAUSE_S)
+        if all(host.ends for host in fleet.hosts):
+            break
+    return changes
+
+
+def write(record, fleet, state):
+    """Write a desired state as the operator does; it is acknowledged on return."""
+    text = json.dumps(state)
+    fleet.store.put("config", "main", json.loads(text))
+    used = [round(host.memory()) for host in fleet.hosts]
+    record(
+        f"operator  version {state['version']}: {len(state['routes'])} routes,"
+        f" {len(text)} bytes; memory of the machines {used} MB"
     )
-    return bool(wrong), text
+    return 1
+
+
+def route(number):
+    return {
+        "name": f"r-more{number}",
+        "host": HOSTNAME,
+        "pathPrefix": f"/more{number}/",
+        "type": "safe",
+        "timeoutMs": 2500,
+        "goalMs": 150,
+        "priority": 2,
+        "service": LEDGER,
+        "maxAttempts": 2,
+        "public": False,
+        "sticky": False,
+        "resumable": False,
+    }
 
 
 run_case(FOLDER, case)
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -116,6 +116,8 @@
         self.run_count = {}
         #: What it does in place of an answer, or None.
         self.trouble = lambda request: None
+        #: What its answers bear beside the usual headers.
+        self.more_fields = []
         self._http = HttpServer(self._answer)
 
     @property
@@ -176,6 +178,7 @@
         return [
             ("X-Amaranthferry-Attempt-Id", attempt),
             ("X-Amaranthferry-Server-Signature", f"{self.name}.{attempt}"),
+            *self.more_fields,
         ]
 
     async def _stream(self, request, attempt):
