--- a/src/amaranthferry/gateway/application.py
+++ b/src/amaranthferry/gateway/application.py
@@ -41,6 +41,7 @@
 from .dispatching import RoutedCall
 from .edge import Edge, Receive, Scope, Send
 from .exchange import RoutedExchange
+from .footprint import Footprint
 from .joining import JoiningHosts
 from .lateness import Lateness
 from .listener import Listener
@@ -128,6 +129,7 @@
         self.peers: PeerNetwork | None = None
         self.telemetry = Telemetry()
         self.lateness = Lateness(self.clock())
+        self._footprint = Footprint(settings.memory)
         #: The key that the hosts share; empty until it has been read.
         self.peer_key = ""
         self.stopping = False
@@ -297,6 +299,11 @@
         await self._readiness.stop()
         _log.info(LogEvent.HOST_STOPPED)
 
+    def held_items(self) -> dict[str, int]:
+        """Return how many items the host holds for callers and for other hosts."""
+        kept = sum(sync.state.kept_changes for sync in self.syncs.values())
+        return {"open_requests": len(self.exchanges), "kept_changes": kept}
+
     @property
     def store_calls(self) -> int:
         """Return the number of calls that this host has made to the store."""
@@ -475,6 +482,7 @@
         if now - self._waiting_logged_at >= WAITING_LOG_PERIOD:
             self._waiting_logged_at = now
             log_waiting(self.state, now)
+            self._footprint.check(self.held_items)
         current = self.freshness.is_current(now)
         if current is not self._keys_current:
             self._keys_current = current
--- a/src/amaranthferry/gateway/telemetry.py
+++ b/src/amaranthferry/gateway/telemetry.py
@@ -14,6 +14,7 @@
 from ..replica.watching import SyncState
 from ..state import HostState
 from ..types import Seconds, SubjectKind
+from .footprint import read_process_memory
 
 if TYPE_CHECKING:
     from prometheus_client.core import Metric
@@ -212,6 +213,18 @@
             (),
             {(): float(len(catalog.left_out)) if catalog else 0.0},
         ),
+        (
+            "process_memory_bytes",
+            "Memory of the process; -1 if the system hides it.",
+            (),
+            {(): float(-1 if (used := read_process_memory()) is None else used)},
+        ),
+        (
+            "kept_changes",
+            "Changes of a kind that are retained for other hosts.",
+            ("kind",),
+            {(k,): float(s.state.kept_changes) for k, s in app.syncs.items()},
+        ),
         ("store_calls", "Calls to the store so far.", (), {(): app.store_calls}),
         ("store_era", "Era of the store, as last seen.", (), {(): app.store_era}),
         (
--- a/src/amaranthferry/platform/settings.py
+++ b/src/amaranthferry/platform/settings.py
@@ -11,6 +11,7 @@
 SETTINGS_VARIABLE = "AMARANTHFERRY_SETTINGS"
 DEFAULT_PATH = "/etc/amaranthferry/settings.conf"
 MILLISECOND: Seconds = 0.001
+MEGABYTE = 1_000_000
 
 
 class Bounds(msgspec.Struct, frozen=True, kw_only=True):
@@ -31,7 +32,7 @@
 
 
 class HostSettings(msgspec.Struct, frozen=True, kw_only=True):
-    """Define the settings of one entry host from its settings file."""
+    """Define the settings of one entry host; memory in bytes, 0 without a limit."""
 
     host: HostId
     zone: ZoneId
@@ -44,6 +45,7 @@
     bounds: Bounds
     processor: float = 1.0
     link_mbps: float = 0.0
+    memory: int = 0
 
     @classmethod
     def from_file(cls, path: Path) -> Self:
@@ -90,6 +92,7 @@
             processor=fields.number("limits.cpuShare", 1)
             * fields.number("limits.cpuCores", 1),
             link_mbps=fields.number("limits.linkMbps", 0),
+            memory=int(fields.number("limits.memoryMb", 0) * MEGABYTE),
         )
 
 
--- a/src/amaranthferry/replica/watching.py
+++ b/src/amaranthferry/replica/watching.py
@@ -195,6 +195,11 @@
                 self._oldest_revision = self._changes[0].revision
             self._changes.append(change)
 
+    @property
+    def kept_changes(self) -> int:
+        """Return the number of changes that are retained for peers."""
+        return len(self._changes)
+
     @property
     def last_change(self) -> int:
         """Return the revision of the latest change, or that of the list before it."""
