Hold a body in short chunks as the bytes that it has

Cause: the bound on a body counted its payload, while each chunk was an object of its own.

Change: what the parser finds in the bytes of one read becomes one chunk, a waiting chunk counts with what holding it costs, and a body that is read as a whole is one buffer. Each chunk also costs processor time: a body of more parts than 16 MiB in chunks of 256 bytes have is given up, like one that is too long.

Why it works: memory is bounded by bytes received, whatever the chunks are, and the answer is given up by the host that reads it, which blames the server instead of ending itself.

--- a/src/amaranthferry/gateway/edge.py
+++ b/src/amaranthferry/gateway/edge.py
@@ -311,7 +311,7 @@
             {"type": "http.response.start", "status": status, "headers": encoded}
         )
 
-    async def _body(self, body: bytes, *, more: bool) -> None:
+    async def _body(self, body: bytes | bytearray, *, more: bool) -> None:
         message = _body_message(body, more=more)
         if self.is_writable:
             await self._send(message)
@@ -335,7 +335,7 @@
     raise RuntimeError("The write waits, though the connection was writable.")
 
 
-def _body_message(body: bytes, *, more: bool) -> dict[str, object]:
+def _body_message(body: bytes | bytearray, *, more: bool) -> dict[str, object]:
     return {"type": "http.response.body", "body": body, "more_body": more}
 
 
--- a/src/amaranthferry/gateway/exchange.py
+++ b/src/amaranthferry/gateway/exchange.py
@@ -20,7 +20,7 @@
     """Represent a complete answer."""
 
     start: AnswerStart
-    body: bytes
+    body: bytes | bytearray
 
 
 class TruncatedAnswer(Exception):  # noqa: N818
@@ -94,12 +94,12 @@
         self._complete = True
         self._end()
 
-    def answer(self, start: AnswerStart, body: bytes) -> None:
+    def answer(self, start: AnswerStart, body: bytes | bytearray) -> None:
         """Relay a complete answer."""
         if not self.head.done():
             self.head.set_result(BufferedAnswer(start, body))
 
-    def save_failure(self, start: AnswerStart, body: bytes) -> None:
+    def save_failure(self, start: AnswerStart, body: bytes | bytearray) -> None:
         """Save a server's failure to return it if no other dispatch succeeds."""
         self._failure = BufferedAnswer(start, body)
 
--- a/src/amaranthferry/http_connection.py
+++ b/src/amaranthferry/http_connection.py
@@ -18,8 +18,12 @@
 #: chunks have more framing than body.
 MAX_OVERHEAD_BYTES = 64 * 1024
 MAX_OVERHEAD_RATIO = 64
+#: What a buffered chunk takes besides its bytes.
+CHUNK_COST_BYTES = 64
 #: Size up to which an answer is read as a whole.
 MAX_BODY_BYTES = 16 * 1024 * 1024
+#: Parts of such an answer's body: each one costs processor time, however short it is.
+MAX_BODY_PARTS = MAX_BODY_BYTES // 256
 #: Time without acknowledgement of sent data before a connection is closed.
 UNACKNOWLEDGED_TIMEOUT: Seconds = 3.0
 
@@ -90,10 +94,13 @@
         self._waiter: asyncio.Future[None] | None = None
         self._headers: list[tuple[str, str]] = []
         self._start: AnswerStart | None = None
+        #: Parts of the body that the parser finds in the bytes that it is fed.
+        self._parts: list[bytes] = []
         self._chunks: deque[bytes] = deque()
         self._buffered = 0
         self._received = 0
         self._body_bytes = 0
+        self._part_count = 0
         self._complete = False
         self._framed = False
         self._bodiless = False
@@ -162,12 +169,26 @@
             self._parser.feed_data(data)
         except httptools.HttpParserError as exc:
             self._fail(f"The answer is not valid HTTP: {exc}.")
+        self._buffer_parts()
         overhead = self._received - self._body_bytes
         if overhead > MAX_OVERHEAD_BYTES + MAX_OVERHEAD_RATIO * self._body_bytes:
             self._fail("The answer's head, chunk framing or trailers are too long.")
         if not self._pass_on() or self._complete or self._error is not None:
             self._wake()
 
+    def _buffer_parts(self) -> None:
+        """Buffer what has been parsed as one chunk, however small its parts are."""
+        if not self._parts:
+            return
+        chunk = b"".join(self._parts)
+        self._part_count += len(self._parts)
+        self._parts.clear()
+        self._chunks.append(chunk)
+        self._body_bytes += len(chunk)
+        self._buffered += len(chunk) + CHUNK_COST_BYTES
+        if self._buffered >= MAX_BUFFERED_BYTES and self._transport is not None:
+            self._transport.pause_reading()
+
     def relay_to(self, sink: Sink) -> None:
         """Offer received chunks to a sink while `chunk` waits for them.
 
@@ -187,13 +208,14 @@
         except BrokenAnswer as exc:
             self._sink_error = exc
             return False
+        count = len(self._chunks)
         self._chunks.clear()
-        self._release(len(data))
+        self._release(len(data), count)
         return True
 
-    def _release(self, size: int) -> None:
-        """Count bytes as no longer buffered."""
-        self._buffered -= size
+    def _release(self, size: int, count: int = 1) -> None:
+        """Count the bytes of some chunks as no longer buffered."""
+        self._buffered -= size + count * CHUNK_COST_BYTES
         if self._transport is not None and self._buffered < MAX_BUFFERED_BYTES:
             self._transport.resume_reading()
 
@@ -217,7 +239,8 @@
         self._sink = self._sink_error = None
         self._bodiless = method == "HEAD"
         self._chunks.clear()
-        self._buffered = self._received = self._body_bytes = 0
+        self._parts.clear()
+        self._buffered = self._received = self._body_bytes = self._part_count = 0
         lines = [f"{method} {target} HTTP/1.1"]
         lines += [f"{name}: {value}" for name, value in headers]
         if body or method not in ("GET", "HEAD", "DELETE"):
@@ -243,15 +266,16 @@
         self._release(len(chunk))
         return chunk
 
-    async def body(self) -> bytes:
+    async def body(self) -> bytearray:
         """Return the body; raise BrokenAnswer if it ends early or is too long."""
-        parts, size = [], 0
+        body = bytearray()
         while chunk := await self.chunk():
-            parts.append(chunk)
-            size += len(chunk)
-            if size > MAX_BODY_BYTES:
+            body += chunk
+            if len(body) > MAX_BODY_BYTES:
                 raise BrokenAnswer("The answer's body is too long.")
-        return b"".join(parts)
+            if self._part_count > MAX_BODY_PARTS:
+                raise BrokenAnswer("The answer's body has too many parts.")
+        return body
 
     async def _wait(self) -> None:
         if self._error is not None:
@@ -308,14 +332,10 @@
         return AnswerFraming.CONNECTION_END
 
     def on_body(self, body: bytes) -> None:
-        """Handle a chunk of the body from the parser."""
+        """Handle a part of the body from the parser."""
         if self._complete:
             return
-        self._chunks.append(body)
-        self._buffered += len(body)
-        self._body_bytes += len(body)
-        if self._buffered >= MAX_BUFFERED_BYTES and self._transport is not None:
-            self._transport.pause_reading()
+        self._parts.append(body)
 
     def on_message_begin(self) -> None:
         """Handle the start of an answer; a second one belongs to no request."""
--- a/src/amaranthferry/platform/store.py
+++ b/src/amaranthferry/platform/store.py
@@ -228,7 +228,7 @@
                 CALL_TIMEOUT if wait is None else wait + WATCH_TIMEOUT
             ):
                 start = await conn.start()
-                answer = await conn.body()
+                answer = bytes(await conn.body())
         except (BrokenAnswer, TimeoutError, OSError) as exc:
             conn.abort()
             raise _call_error(exc, method, sent=sent) from exc
--- a/src/amaranthferry/soak/processes.py
+++ b/src/amaranthferry/soak/processes.py
@@ -11,6 +11,7 @@
 import aiohttp
 
 from ..embedded import free_address
+from ..gateway.footprint import read_process_memory
 from ..platform.settings import SETTINGS_VARIABLE
 from ..standins.deployment import settings_text
 from ..types import Seconds
@@ -63,6 +64,12 @@
                 sys.executable, "-c", PROGRAM, stdout=log, stderr=log, env=environment
             )
 
+    def memory(self) -> int:
+        """Return the process's own memory in bytes, or 0 if it doesn't run."""
+        if self._process is None or self._process.returncode is not None:
+            return 0
+        return read_process_memory(Path(f"/proc/{self._process.pid}/statm")) or 0
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process if it runs."""
         if self._process is not None and self._process.returncode is None:
--- a/src/amaranthferry/standins/deployment.py
+++ b/src/amaranthferry/standins/deployment.py
@@ -147,6 +147,7 @@
     revoke: Seconds = REVOCATION_BOUND,
     grace: Seconds = GRACE_TIME,
     processor: float = 1.0,
+    memory_mb: int = 136,
 ) -> str:
     """Return the settings file of a host with four addresses on one IP address."""
     ip = addresses[0].partition(":")[0]
@@ -166,6 +167,7 @@
         "bounds.graceS": grace,
         "bounds.retryBudgetExtra": 100,
         "limits.cpuShare": processor,
+        "limits.memoryMb": memory_mb,
     }
     return "".join(f"{key}={value}\n" for key, value in lines.items())
 
--- /dev/null
+++ b/tests/gateway/test_answer_memory.py
@@ -0,0 +1,80 @@
+"""Play servers whose answers fill the memory of a host."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from .fleet import ROUTES, config, entry, fleet
+from .test_endless_answers import EndlessServer
+from .test_planned_stop import RunningHost
+
+#: As in the settings of the hosts.
+MEMORY_LIMIT = 136_000_000
+#: Part of the memory that a calm host leaves free which an attack may take.
+MAX_SHARE = 0.5
+REQUESTS = 16
+ATTACK_TIME = 4.0
+HEAD = (
+    b"HTTP/1.1 500 Broken\r\nX-Amaranthferry-Server-Signature: s\r\n"
+    b"X-Amaranthferry-Attempt-Id: %b\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
+
+
+def chunks(size):
+    return b"%x\r\n%b\r\n" % (size, b"x" * size) * max(1, 65_536 // (size + 6))
+
+
+async def watch_memory(process, peaks):
+    while True:
+        peaks.append(process.memory())
+        await asyncio.sleep(0.01)
+
+
+@contextlib.asynccontextmanager
+async def attacked_host(folder, block):
+    """Run a host with a sound server and one that sends blocks without end."""
+    routes = [{**route, "timeoutMs": 8_000} for route in ROUTES]
+    endless = EndlessServer(HEAD, block)
+    async with (
+        fleet(hosts=0, ledgers=1, spec=config(routes=routes)) as (system, caller),
+        RunningHost(system, folder) as host,
+    ):
+        server = await asyncio.start_server(endless.serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        listed = entry("ledger", address)
+        await system.store.put("servers", "endless", {**listed, "slots": REQUESTS})
+        system.urls.append(host.url)
+        yield system, caller, host.process
+        server.close()
+
+
+async def press(caller, until):
+    """Send requests that meet either server until a time."""
+    loop = asyncio.get_running_loop()
+    statuses = []
+    while loop.time() < until:
+        with contextlib.suppress(Exception):
+            answer = await caller.send("POST", "/pay/x", data=b"1", deadline=8.0)
+            statuses.append(answer[1])
+    return statuses
+
+
+@pytest.mark.parametrize("size", [1, 4])
+async def test_answers_without_end_in_short_chunks_end_no_process(tmp_path, size):
+    async with attacked_host(tmp_path, chunks(size)) as (_, caller, process):
+        await attack_and_check(caller, process)
+
+
+async def attack_and_check(caller, process):
+    await asyncio.sleep(0.5)
+    calm, peaks = process.memory(), []
+    watching = asyncio.create_task(watch_memory(process, peaks))
+    until = asyncio.get_running_loop().time() + ATTACK_TIME
+    pressing = [press(caller, until) for _ in range(REQUESTS)]
+    found = await asyncio.gather(*pressing)
+    watching.cancel()
+    statuses = [status for each in found for status in each]
+    assert statuses.count(200) > 20
+    assert min(peaks) > 0
+    assert max(peaks) < calm + MAX_SHARE * (MEMORY_LIMIT - calm)
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -81,6 +81,10 @@
     async def __aexit__(self, *args):
         await self._process.kill()
 
+    @property
+    def process(self):
+        return self._process
+
     async def stop(self):
         self._process.signal(signal.SIGTERM)
         async with asyncio.timeout(20):
--- a/tests/test_http_connection.py
+++ b/tests/test_http_connection.py
@@ -1,10 +1,17 @@
 """Test the relay of answers that arrive on a connection."""
 
 import asyncio
+import tracemalloc
 
 import pytest
 
-from amaranthferry.http_connection import BrokenAnswer, HttpConnection
+from amaranthferry.http_connection import (
+    MAX_BODY_BYTES,
+    MAX_BODY_PARTS,
+    MAX_BUFFERED_BYTES,
+    BrokenAnswer,
+    HttpConnection,
+)
 
 HEAD = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
 END = b"0\r\n\r\n"
@@ -16,19 +23,26 @@
     def write(self, data):
         pass
 
+    def __init__(self):
+        super().__init__()
+        self.aborted = self.paused = False
+
     def abort(self):
-        pass
+        self.aborted = True
 
     def is_closing(self):
-        return False
+        return self.aborted
+
+    def pause_reading(self):
+        self.paused = True
 
     def resume_reading(self):
-        pass
+        self.paused = False
 
 
-async def open_connection():
+async def open_connection(transport=None):
     conn = HttpConnection()
-    conn.connection_made(FakeTransport())
+    conn.connection_made(transport or FakeTransport())
     conn.send("GET", "/", [])
     conn.data_received(HEAD)
     await conn.start()
@@ -81,3 +95,73 @@
     conn.data_received(b"1\r\na\r\n" + END)
     with pytest.raises(BrokenAnswer, match="too long"):
         await reader
+
+
+#: Bytes that a server sends at once, and the size of a body that is read meanwhile.
+BLOCK_BYTES = 64 * 1024
+BODY_BYTES = 2 * 1024 * 1024
+#: What a body may take for each byte, and what reading it may take beside.
+MAX_COST = 1.25
+READING_BYTES = 6 * BLOCK_BYTES
+
+
+@pytest.fixture
+def traced_memory():
+    tracemalloc.start()
+    yield tracemalloc.get_traced_memory
+    tracemalloc.stop()
+
+
+def chunks_of(size):
+    """Return a block of chunks of a size, and the number of bytes of body in it."""
+    count = max(1, BLOCK_BYTES // (size + 6))
+    return b"%x\r\n%b\r\n" % (size, b"x" * size) * count, size * count
+
+
+@pytest.mark.parametrize("size", [1, 2, 4, 64, 4_096])
+async def test_body_in_short_chunks_takes_no_more_memory_than_its_bytes(
+    size, traced_memory
+):
+    conn = await open_connection()
+    block, payload = chunks_of(size)
+    reading = asyncio.ensure_future(conn.body())
+    before, sent = traced_memory()[0], 0
+    while sent < min(BODY_BYTES, size * MAX_BODY_PARTS - payload):
+        conn.data_received(block)
+        sent += payload
+        await asyncio.sleep(0)
+    held = traced_memory()[0] - before
+    conn.data_received(END)
+    assert len(await reading) == sent
+    assert held < sent * MAX_COST + READING_BYTES
+
+
+async def test_unread_body_in_tiny_packets_is_paused_by_what_it_takes(traced_memory):
+    transport = FakeTransport()
+    conn = await open_connection(transport)
+    before = traced_memory()[0]
+    while not transport.paused:
+        conn.data_received(b"2\r\nab\r\n")
+    assert traced_memory()[0] - before < MAX_BUFFERED_BYTES * MAX_COST
+
+
+async def test_body_in_too_many_parts_is_given_up():
+    conn = await open_connection()
+    block, _ = chunks_of(1)
+    reading = asyncio.ensure_future(conn.body())
+    for _ in range(MAX_BODY_PARTS // block.count(b"x") + 1):
+        conn.data_received(block)
+        await asyncio.sleep(0)
+    with pytest.raises(BrokenAnswer, match="too many parts"):
+        await reading
+
+
+async def test_body_over_its_bound_is_given_up():
+    conn = await open_connection()
+    block, payload = chunks_of(4_096)
+    reading = asyncio.ensure_future(conn.body())
+    for _ in range(MAX_BODY_BYTES // payload + 2):
+        conn.data_received(block)
+        await asyncio.sleep(0)
+    with pytest.raises(BrokenAnswer, match="too long"):
+        await reading
