Bound trailers by themselves

A server that sends a long body and then trailers without end makes its host hold them.

Cause: bytes that are no body were allowed in proportion to the body before them, 64 for one, and trailers were kept as headers though nothing reads them.

Change: bytes without any of the body in between are bounded by 64 KiB, as heads are, and headers that follow the body aren't kept.

Why it works: an answer that stops bringing body is given up after 64 KiB, however long its body was.

--- a/src/amaranthferry/http_connection.py
+++ b/src/amaranthferry/http_connection.py
@@ -101,6 +101,8 @@
         self._received = 0
         self._body_bytes = 0
         self._part_count = 0
+        #: Bytes received since the last ones of the body.
+        self._bodiless_bytes = 0
         self._complete = False
         self._framed = False
         self._bodiless = False
@@ -164,18 +166,25 @@
         if self._parser is None or self._complete:
             self._fail("Bytes were received without a pending request.")
             return
+        before = self._body_bytes
         self._received += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as exc:
             self._fail(f"The answer is not valid HTTP: {exc}.")
         self._buffer_parts()
-        overhead = self._received - self._body_bytes
-        if overhead > MAX_OVERHEAD_BYTES + MAX_OVERHEAD_RATIO * self._body_bytes:
-            self._fail("The answer's head, chunk framing or trailers are too long.")
+        self._limit_overhead(len(data), self._body_bytes - before)
         if not self._pass_on() or self._complete or self._error is not None:
             self._wake()
 
+    def _limit_overhead(self, received: int, body: int) -> None:
+        """Fail an answer with too many bytes that are no body, in all or in a row."""
+        self._bodiless_bytes = 0 if body else self._bodiless_bytes + received
+        overhead = self._received - self._body_bytes
+        limit = MAX_OVERHEAD_BYTES + MAX_OVERHEAD_RATIO * self._body_bytes
+        if overhead > limit or self._bodiless_bytes > MAX_OVERHEAD_BYTES:
+            self._fail("The answer's head, chunk framing or trailers are too long.")
+
     def _buffer_parts(self) -> None:
         """Buffer what has been parsed as one chunk, however small its parts are."""
         if not self._parts:
@@ -240,7 +249,8 @@
         self._bodiless = method == "HEAD"
         self._chunks.clear()
         self._parts.clear()
-        self._buffered = self._received = self._body_bytes = self._part_count = 0
+        self._buffered = self._received = self._bodiless_bytes = 0
+        self._body_bytes = self._part_count = 0
         lines = [f"{method} {target} HTTP/1.1"]
         lines += [f"{name}: {value}" for name, value in headers]
         if body or method not in ("GET", "HEAD", "DELETE"):
@@ -304,7 +314,8 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Handle one header from the parser."""
-        if self._complete:
+        if self._complete or self._start is not None:
+            # Headers after the body are trailers, which aren't relayed.
             return
         pair = (name.decode("latin-1").lower(), value.decode("latin-1"))
         self._headers.append(pair)
--- a/tests/test_http_connection.py
+++ b/tests/test_http_connection.py
@@ -9,6 +9,7 @@
     MAX_BODY_BYTES,
     MAX_BODY_PARTS,
     MAX_BUFFERED_BYTES,
+    MAX_OVERHEAD_BYTES,
     BrokenAnswer,
     HttpConnection,
 )
@@ -165,3 +166,23 @@
         await asyncio.sleep(0)
     with pytest.raises(BrokenAnswer, match="too long"):
         await reading
+
+
+@pytest.mark.parametrize(
+    "trailers", [b"X-More: 1\r\n" * 4_096, b"X-More: " + b"x" * BLOCK_BYTES]
+)
+async def test_trailers_after_a_long_body_are_bounded(trailers, traced_memory):
+    conn = await open_connection()
+    block, payload = chunks_of(4_096)
+    reading = asyncio.ensure_future(conn.body())
+    for _ in range(BODY_BYTES // payload):
+        conn.data_received(block)
+        await asyncio.sleep(0)
+    before = traced_memory()[0]
+    conn.data_received(b"0\r\n")
+    for _ in range(64):
+        if conn.connected:
+            conn.data_received(trailers)
+    assert traced_memory()[0] - before < 4 * MAX_OVERHEAD_BYTES
+    with pytest.raises(BrokenAnswer, match="trailers"):
+        await reading
