Divide the memory for answers that are read as a whole

Cause: the bound of 16 MiB held for each answer alone, and nothing bounded their sum. A given-up body also stayed in memory while its error was handled, up to 0.15 s.

Change: memory.py divides `limits.memoryMb`; a quarter is for answers that are read as a whole, until their callers have them. When they hold more, the largest one that is still arriving gives way: its server is blamed and its caller answered as for any broken answer. Complete answers and those of up to 64 KiB never give way, so a sound answer isn't lost to one without end. `answer.dropped` names the request, server, sizes and limit; `answer_bytes` is a gauge, and in `memory.high`.

Why it works: what arrives counts before it is kept, so the sum is bounded by the share and one chunk of each connection.

--- a/src/amaranthferry/gateway/application.py
+++ b/src/amaranthferry/gateway/application.py
@@ -21,6 +21,7 @@
     Ticked,
 )
 from ..membership import Member, MembershipAgent
+from ..memory import AnswerMemory, MemoryBudget
 from ..messages import Message, StoreUpdate, StoreUpdateRequest
 from ..peers import PeerNetwork
 from ..platform.desired import CONFIG_KIND, SERVER_KIND
@@ -129,6 +130,8 @@
         self.peers: PeerNetwork | None = None
         self.telemetry = Telemetry()
         self.lateness = Lateness(self.clock())
+        budget = MemoryBudget.from_limit(settings.memory)
+        self.answers = AnswerMemory(budget.answers)
         self._footprint = Footprint(settings.memory)
         #: The key that the hosts share; empty until it has been read.
         self.peer_key = ""
@@ -300,9 +303,13 @@
         _log.info(LogEvent.HOST_STOPPED)
 
     def held_items(self) -> dict[str, int]:
-        """Return how many items the host holds for callers and for other hosts."""
+        """Return how much the host holds for callers and for other hosts."""
         kept = sum(sync.state.kept_changes for sync in self.syncs.values())
-        return {"open_requests": len(self.exchanges), "kept_changes": kept}
+        return {
+            "open_requests": len(self.exchanges),
+            "answer_bytes": self.answers.held,
+            "kept_changes": kept,
+        }
 
     @property
     def store_calls(self) -> int:
--- a/src/amaranthferry/gateway/dispatching.py
+++ b/src/amaranthferry/gateway/dispatching.py
@@ -30,6 +30,7 @@
     ServerProcess,
     check_process,
 )
+from ..memory import AnswerMemory
 from ..messages import ServerIncarnation
 from ..platform import headers
 from ..types import (
@@ -117,6 +118,7 @@
         clock: Callable[[], Seconds],
         can_rerun: Callable[[], bool],
         is_limited: Callable[[], bool],
+        answers: AnswerMemory,
     ) -> None:
         self._exchange = exchange
         self.decided_by = decided_by
@@ -127,6 +129,7 @@
         self._clock = clock
         self._can_rerun = can_rerun
         self._is_limited = is_limited
+        self._answers = answers
         self._sent_at: Seconds = 0.0
         self._tokens: Tokens = 0
         self._reported_at: Seconds = 0.0
@@ -382,9 +385,7 @@
         self, conn: HttpConnection, start: AnswerStart
     ) -> _AnswerEnd:
         """Relay a non-streamed answer once it is complete."""
-        left = max(0.0, self._call.deadline - self._clock())
-        async with asyncio.timeout(left):
-            body = await conn.body()
+        body = await self._read_body(conn)
         self._from_server = self._ran
         self._report(
             FirstTokenSeen(now=self._clock(), request_id=self._call.request_id)
@@ -395,6 +396,30 @@
         self._exchange.answer(start, body)
         return _AnswerEnd.COMPLETE
 
+    async def _read_body(self, conn: HttpConnection) -> bytearray:
+        """Read a body as a whole; the exchange holds it until the caller has it."""
+        held = self._answers.hold(lambda: self._drop_answer(conn))
+        left = max(0.0, self._call.deadline - self._clock())
+        try:
+            async with asyncio.timeout(left):
+                body = await conn.body(held.grow)
+        except BaseException:
+            held.release()
+            raise
+        held.complete()
+        self._exchange.held_answers.append(held)
+        return body
+
+    def _drop_answer(self, conn: HttpConnection) -> None:
+        """Break off an answer that has had to give way."""
+        self._log(
+            LogEvent.ANSWER_DROPPED,
+            size=conn.body_size,
+            held=self._answers.held,
+            limit=self._answers.limit,
+        )
+        conn.give_up("There is no memory left for the answer's body.")
+
     async def _relay_stream(
         self, conn: HttpConnection, start: AnswerStart
     ) -> _AnswerEnd:
--- a/src/amaranthferry/gateway/edge.py
+++ b/src/amaranthferry/gateway/edge.py
@@ -98,6 +98,7 @@
             self._app.handle_disconnect(exchange)
         finally:
             watcher.cancel()
+            exchange.release_answers()
 
     def _record_refusal(
         self, received: list[tuple[str, str]], scope: Scope, exc: RequestError
--- a/src/amaranthferry/gateway/exchange.py
+++ b/src/amaranthferry/gateway/exchange.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from ..http_connection import AnswerStart
+from ..memory import HeldAnswer
 from ..problems import Problem
 from ..types import Seconds, Tokens
 
@@ -63,6 +64,8 @@
         self.retry_after: Seconds | None = None
         self.task: asyncio.Task[None] | None = None
         self.timer: asyncio.TimerHandle | None = None
+        #: What the answers of this call that have been read as a whole hold.
+        self.held_answers: list[HeldAnswer] = []
 
     def begin(self, start: AnswerStart) -> None:
         """Relay a stream's status and headers; later dispatches do not change them."""
@@ -119,6 +122,12 @@
         else:
             self._chunks.put_nowait(None)
 
+    def release_answers(self) -> None:
+        """Let go of the answers; the caller has one of them or won't get any."""
+        for held in self.held_answers:
+            held.release()
+        self.held_answers.clear()
+
     async def body(self) -> AsyncIterator[bytes]:
         """Yield a stream's chunks; raise TruncatedAnswer if it ends early."""
         while (chunk := await self._next_chunk()) is not None:
--- a/src/amaranthferry/gateway/log_events.py
+++ b/src/amaranthferry/gateway/log_events.py
@@ -19,7 +19,8 @@
     SIGNAL_STOP = "signal.stop"  # repeated
     SIGNAL_RELOAD = "signal.reload"  # taken
     HOST_LAGGING = "host.lagging"  # late, ticks; at most one a second
-    # process, limit, open_requests, kept_changes; once until the memory has fallen
+    # process, limit, open_requests, answer_bytes, kept_changes; once until the memory
+    # has fallen
     MEMORY_HIGH = "memory.high"
     TASK_RESTARTED = "task.restarted"  # task, exception
     TASK_FAILED = "task.failed"  # exception; written by the shell of all hosts
@@ -100,6 +101,8 @@
     # request_id, server, problem, process, framing, closed_by_peer, partial_event,
     # server_limit, route, service, workspace, digest, ran_for, answering_for, parts
     DISPATCH_BROKEN = "dispatch.broken"
+    # request_id, server, size, held, limit: bytes of the answers that are read as a whole
+    ANSWER_DROPPED = "answer.dropped"
     PERMIT_GRANTED = "permit.granted"  # request_id, asker, server, waited, queue
     # request_id, shard, coordinator, server, reason, age
     PERMIT_RETURNED = "permit.returned"
--- a/src/amaranthferry/gateway/performer.py
+++ b/src/amaranthferry/gateway/performer.py
@@ -193,6 +193,7 @@
         clock=app.clock,
         can_rerun=lambda: app.can_rerun(effect.request_id),
         is_limited=lambda: app.state.server_rates.is_limited(incarnation),
+        answers=app.answers,
     )
     exchange.task = app.spawn(dispatch.run())
     exchange.task.add_done_callback(
--- a/src/amaranthferry/gateway/telemetry.py
+++ b/src/amaranthferry/gateway/telemetry.py
@@ -219,6 +219,12 @@
             (),
             {(): float(-1 if (used := read_process_memory()) is None else used)},
         ),
+        (
+            "answer_bytes",
+            "Bytes of the answers that are read or kept as a whole.",
+            (),
+            {(): float(app.answers.held)},
+        ),
         (
             "kept_changes",
             "Changes of a kind that are retained for other hosts.",
--- a/src/amaranthferry/http_connection.py
+++ b/src/amaranthferry/http_connection.py
@@ -84,6 +84,11 @@
         return dict(self.headers)
 
 
+def _always(size: int) -> bool:
+    """Find room for any number of bytes."""
+    return True
+
+
 class HttpConnection(asyncio.Protocol):
     """Send one request at a time and read its answer in chunks."""
 
@@ -132,6 +137,11 @@
             and self.connected
         )
 
+    @property
+    def body_size(self) -> int:
+        """Return the bytes of the answer's body that have been received."""
+        return self._body_bytes
+
     @property
     def connected(self) -> bool:
         """Return whether the connection is open in both directions."""
@@ -228,6 +238,11 @@
         if self._transport is not None and self._buffered < MAX_BUFFERED_BYTES:
             self._transport.resume_reading()
 
+    def give_up(self, problem: str) -> None:
+        """Break off the answer that is being read."""
+        self._fail(problem)
+        self._wake()
+
     def _fail(self, problem: str) -> None:
         self._error = self._error or BrokenAnswer(problem)
         self.abort()
@@ -276,16 +291,29 @@
         self._release(len(chunk))
         return chunk
 
-    async def body(self) -> bytearray:
-        """Return the body; raise BrokenAnswer if it ends early or is too long."""
+    async def body(self, grow: Callable[[int], bool] = _always) -> bytearray:
+        """Return the body; raise BrokenAnswer if it ends early or is too long.
+
+        `grow` is told of each chunk's size, and returns whether it finds room.
+        """
         body = bytearray()
+        try:
+            await self._read_into(body, grow)
+        except BaseException:
+            # The traceback keeps the buffer for as long as the error is handled.
+            body.clear()
+            raise
+        return body
+
+    async def _read_into(self, body: bytearray, grow: Callable[[int], bool]) -> None:
         while chunk := await self.chunk():
+            if not grow(len(chunk)):
+                raise BrokenAnswer("There is no memory left for the answer's body.")
             body += chunk
             if len(body) > MAX_BODY_BYTES:
                 raise BrokenAnswer("The answer's body is too long.")
             if self._part_count > MAX_BODY_PARTS:
                 raise BrokenAnswer("The answer's body has too many parts.")
-        return body
 
     async def _wait(self) -> None:
         if self._error is not None:
--- a/tests/test_http_connection.py
+++ b/tests/test_http_connection.py
@@ -186,3 +186,11 @@
     assert traced_memory()[0] - before < 4 * MAX_OVERHEAD_BYTES
     with pytest.raises(BrokenAnswer, match="trailers"):
         await reading
+
+
+async def test_body_without_room_is_given_up():
+    conn = await open_connection()
+    reading = asyncio.ensure_future(conn.body(lambda size: False))
+    conn.data_received(b"1\r\na\r\n")
+    with pytest.raises(BrokenAnswer, match="memory"):
+        await reading
