Bound what waits of a stream for a slow caller in bytes

A server that sends events without end to two callers that read slowly ends the process.

Cause: 256 chunks could wait for each caller, and a chunk is what one read brings, up to 256 KiB: 64 MiB for one stream.

Change: a stream waits for its caller once 256 KiB are queued, counted with what each chunk costs. The end of a stream always has room, so no chunk is dropped for it any more.

Evidence: test_stream_for_a_caller_that_does_not_read_holds_no_more_than_its_bound failed before for chunks of 256 KiB (67,108,864 bytes queued), and passes.

Why it works: the server's connection is paused by its own bound once nothing takes its chunks.

--- a/src/amaranthferry/gateway/exchange.py
+++ b/src/amaranthferry/gateway/exchange.py
@@ -6,7 +6,8 @@
 
 import msgspec
 
-from ..http_connection import AnswerStart
+from ..config import KIBIBYTE
+from ..http_connection import CHUNK_COST_BYTES, AnswerStart
 from ..memory import HeldAnswer
 from ..problems import Problem
 from ..types import Seconds, Tokens
@@ -14,7 +15,8 @@
 if TYPE_CHECKING:
     from .dispatching import RoutedCall
 
-MAX_QUEUED_CHUNKS = 256
+#: Bytes of a stream that wait for a slow caller before its server has to wait too.
+MAX_QUEUED_BYTES = 256 * KIBIBYTE
 
 
 class BufferedAnswer(msgspec.Struct, frozen=True):
@@ -47,7 +49,10 @@
         self.head: asyncio.Future[AnswerStart | BufferedAnswer | Problem] = (
             asyncio.get_running_loop().create_future()
         )
-        self._chunks: asyncio.Queue[bytes | None] = asyncio.Queue(MAX_QUEUED_CHUNKS)
+        self._chunks: asyncio.Queue[bytes | None] = asyncio.Queue()
+        self._queued_bytes = 0
+        self._has_room = asyncio.Event()
+        self._has_room.set()
         self._writer: Writer | None = None
         #: Whether everything that left the queue has been written.
         self._idle = False
@@ -90,7 +95,18 @@
 
     async def feed(self, chunk: bytes) -> None:
         """Relay a chunk of a stream, waiting while the queue is full."""
-        await self._chunks.put(chunk)
+        while not self._has_room.is_set():
+            await self._has_room.wait()
+        self._count(len(chunk) + CHUNK_COST_BYTES)
+        self._chunks.put_nowait(chunk)
+
+    def _count(self, size: int) -> None:
+        """Add to the bytes that wait, and have the server wait while there are many."""
+        self._queued_bytes += size
+        if self._queued_bytes < MAX_QUEUED_BYTES:
+            self._has_room.set()
+        else:
+            self._has_room.clear()
 
     def finish(self) -> None:
         """Mark a stream as complete."""
@@ -113,14 +129,7 @@
         self._end()
 
     def _end(self) -> None:
-        # Drops a chunk if the queue is full and the end marker would not fit. This only
-        # happens to aborted streams and disconnected callers.
-        if self._chunks.full() and not self._complete:
-            self._chunks.get_nowait()
-        if self._chunks.full():
-            asyncio.get_running_loop().create_task(self._chunks.put(None))
-        else:
-            self._chunks.put_nowait(None)
+        self._chunks.put_nowait(None)
 
     def release_answers(self) -> None:
         """Let go of the answers; the caller has one of them or won't get any."""
@@ -138,6 +147,9 @@
     async def _next_chunk(self) -> bytes | None:
         self._idle = True
         try:
-            return await self._chunks.get()
+            chunk = await self._chunks.get()
         finally:
             self._idle = False
+        if chunk is not None:
+            self._count(-len(chunk) - CHUNK_COST_BYTES)
+        return chunk
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -2,7 +2,13 @@
 
 import asyncio
 
-from amaranthferry.gateway.exchange import RoutedExchange
+import pytest
+
+from amaranthferry.gateway.exchange import (
+    MAX_QUEUED_BYTES,
+    RoutedExchange,
+    TruncatedAnswer,
+)
 
 from .fleet import fleet
 
@@ -61,6 +67,44 @@
     assert exchange.writer is None
 
 
+@pytest.mark.parametrize("size", [1, 100, 256 * 1024])
+async def test_stream_for_a_caller_that_does_not_read_holds_no_more_than_its_bound(
+    size,
+):
+    exchange, held = RoutedExchange(call=None), 0
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.2):
+            while True:
+                await exchange.feed(b"x" * size)
+                held += size
+    assert held <= MAX_QUEUED_BYTES + size
+
+
+async def test_chunks_wait_for_room_and_arrive_in_order():
+    exchange, writer = RoutedExchange(call=None), FakeWriter()
+    chunks = [bytes([number]) * 100_000 for number in range(20)]
+
+    async def feed():
+        for chunk in chunks:
+            await exchange.feed(chunk)
+        exchange.finish()
+
+    await asyncio.gather(feed(), consume(exchange, writer))
+    assert writer.written == chunks
+
+
+async def test_stream_that_is_given_up_ends_though_its_queue_is_full():
+    exchange = RoutedExchange(call=None)
+    feeding = asyncio.ensure_future(exchange.feed(b"x" * MAX_QUEUED_BYTES))
+    waiting = asyncio.ensure_future(exchange.feed(b"y"))
+    await asyncio.sleep(0)
+    exchange.settle(None)
+    with pytest.raises(TruncatedAnswer):
+        await consume(exchange, FakeWriter())
+    assert feeding.done()
+    waiting.cancel()
+
+
 async def test_relayed_events_keep_a_stream_at_its_server():
     async with fleet(engines=2) as (running, caller):
         for server in running.servers.values():
