Write whole answers in pieces that wait for the caller

Callers that ask for long answers and read slowly make a host hold each answer twice.

Cause: an answer was written to the connection at once, which copies what the socket doesn't take.

Change: it is written in pieces of 64 KiB, each of which waits while the connection's buffer is full, and is given up if the caller reads nothing for 30 s, as before.

Evidence: test_answer_for_a_caller_that_does_not_read_is_held_once failed before (54.4 MB for two answers of 15 MiB, 45.3 allowed), and passes (32.1 MB). tests/gateway: 264 passed.

Why it works: only the answer itself, which memory.py counts, and one piece are held.

--- a/src/amaranthferry/gateway/edge.py
+++ b/src/amaranthferry/gateway/edge.py
@@ -15,6 +15,7 @@
     tier_id,
     work_class_id,
 )
+from ..config import KIBIBYTE
 from ..events import RequestArrived
 from ..exceptions import RequestError
 from ..harm.digest import digest_request
@@ -43,6 +44,8 @@
 #: Retry-After from a stopping host; another host can serve the request at once.
 OTHER_HOST_RETRY: Seconds = 0.05
 CALLER_STALL_TIMEOUT: Seconds = 30.0
+#: Bytes of a whole answer that are written at once.
+PIECE_BYTES = 64 * KIBIBYTE
 _log = structlog.get_logger(__name__)
 
 
@@ -270,10 +273,14 @@
         await self._start(start.status, pairs)
 
     async def answer(self, answer: BufferedAnswer) -> None:
-        """Write a buffered answer."""
-        length = None if self._bodiless else len(answer.body)
-        await self.start(answer.start, length)
-        await self._body(answer.body, more=False)
+        """Write a buffered answer, in pieces that wait until the caller reads."""
+        size = len(answer.body)
+        await self.start(answer.start, None if self._bodiless else size)
+        for begin in range(0, size, PIECE_BYTES):
+            piece = bytes(answer.body[begin : begin + PIECE_BYTES])
+            await self._body(piece, more=begin + PIECE_BYTES < size)
+        if not size:
+            await self._body(b"", more=False)
 
     async def chunk(self, chunk: bytes) -> None:
         """Write a chunk of a stream."""
@@ -312,7 +319,7 @@
             {"type": "http.response.start", "status": status, "headers": encoded}
         )
 
-    async def _body(self, body: bytes | bytearray, *, more: bool) -> None:
+    async def _body(self, body: bytes, *, more: bool) -> None:
         message = _body_message(body, more=more)
         if self.is_writable:
             await self._send(message)
@@ -336,7 +343,7 @@
     raise RuntimeError("The write waits, though the connection was writable.")
 
 
-def _body_message(body: bytes | bytearray, *, more: bool) -> dict[str, object]:
+def _body_message(body: bytes, *, more: bool) -> dict[str, object]:
     return {"type": "http.response.body", "body": body, "more_body": more}
 
 
--- a/tests/gateway/test_answer_memory.py
+++ b/tests/gateway/test_answer_memory.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from .fleet import ROUTES, config, entry, fleet
+from .fleet import HOST, KEY, ROUTES, config, entry, fleet
 from .test_endless_answers import EndlessServer
 from .test_planned_stop import RunningHost
 
@@ -83,3 +83,65 @@
     assert statuses.count(200) > 20
     assert min(peaks) > 0
     assert max(peaks) < calm + MAX_SHARE * (MEMORY_LIMIT - calm)
+
+
+LONG_ANSWER_BYTES = 15 * 1024 * 1024
+SLOW_CALLERS = 2
+#: What a host may hold for each byte of an answer whose caller doesn't read, and beside.
+MAX_COST = 1.25
+BESIDE_BYTES = 6_000_000
+
+
+async def serve_long_answer(reader, writer):
+    attempt = b""
+    while (line := await reader.readline()).strip():
+        name, _, value = line.partition(b":")
+        if name.lower() == b"x-amaranthferry-attempt-id":
+            attempt = value.strip()
+    head = HEAD.replace(b"500 Broken", b"200 OK").replace(
+        b"Transfer-Encoding: chunked", b"Content-Length: %d" % LONG_ANSWER_BYTES
+    )
+    writer.write(head.replace(b"%b", attempt) + b"x" * LONG_ANSWER_BYTES)
+    with contextlib.suppress(ConnectionError):
+        await writer.drain()
+    writer.close()
+
+
+async def test_answer_for_a_caller_that_does_not_read_is_held_once(tmp_path):
+    async with (
+        fleet(hosts=0, ledgers=0) as (system, _),
+        RunningHost(system, tmp_path) as host,
+    ):
+        server = await asyncio.start_server(serve_long_answer, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        await system.store.put("servers", "long", entry("ledger", address))
+        await asyncio.sleep(0.5)
+        calm = host.process.memory()
+        ip, _, port = host.url.removeprefix("http://").partition(":")
+        callers = [
+            await asyncio.open_connection(ip, int(port), limit=1_024)
+            for _ in range(SLOW_CALLERS)
+        ]
+        for number, (_, writer) in enumerate(callers):
+            writer.write(
+                f"GET /look/x HTTP/1.1\r\nHost: {HOST}\r\n"
+                f"X-Amaranthferry-Key: {KEY}\r\n"
+                f"X-Amaranthferry-Attempt-Id: slow-{number}\r\n\r\n".encode()
+            )
+        await asyncio.sleep(2.0)
+        held = host.process.memory() - calm
+        bodies = [await read_answer(reader) for reader, _ in callers]
+        assert bodies == [LONG_ANSWER_BYTES] * SLOW_CALLERS
+        assert held < SLOW_CALLERS * LONG_ANSWER_BYTES * MAX_COST + BESIDE_BYTES
+        server.close()
+
+
+async def read_answer(reader):
+    """Return the number of bytes of the body that an answer announces and brings."""
+    length = 0
+    assert (await reader.readline()).startswith(b"HTTP/1.1 200 ")
+    while (line := await reader.readline()).strip():
+        name, _, value = line.partition(b":")
+        if name.lower() == b"content-length":
+            length = int(value)
+    return len(await reader.readexactly(length))
