Retain changes for other hosts as bytes, the latest of each object

Cause: each host kept the last 256 changes of a kind for hosts that ask what they missed, decoded and whole.

Change: replica/history.py keeps the latest change of each object, encoded, up to a hundredth of the memory limit for a kind; the newest one whatever its size, so that hosts needn't read the store after each change. Who is further behind reads the store, as before. A change that can't be encoded is no longer kept. `kept_change_bytes` is a gauge and in `memory.high`.

Why it works: nobody needs a version that a later one has replaced, and a bound in bytes holds for any size of a version and any number of objects.

--- a/src/amaranthferry/gateway/application.py
+++ b/src/amaranthferry/gateway/application.py
@@ -130,8 +130,8 @@
         self.peers: PeerNetwork | None = None
         self.telemetry = Telemetry()
         self.lateness = Lateness(self.clock())
-        budget = MemoryBudget.from_limit(settings.memory)
-        self.answers = AnswerMemory(budget.answers)
+        self._memory_budget = MemoryBudget.from_limit(settings.memory)
+        self.answers = AnswerMemory(self._memory_budget.answers)
         self._footprint = Footprint(settings.memory)
         #: The key that the hosts share; empty until it has been read.
         self.peer_key = ""
@@ -175,11 +175,15 @@
         return cls(settings)
 
     def _create_syncs(self) -> dict[str, StoreSync]:
-        config = SyncState(CONFIG_KIND, self.config, self.freshness)
+        max_kept_bytes = self._memory_budget.kept_changes
+        config = SyncState(
+            CONFIG_KIND, self.config, self.freshness, max_kept_bytes=max_kept_bytes
+        )
         servers = SyncState(
             SERVER_KIND,
             self.servers,
             Freshness(self.settings.bounds.revoke, self.age_budget),
+            max_kept_bytes=max_kept_bytes,
         )
         states = (config, servers)
         readers = {state.kind: KindReader(self._store, state) for state in states}
@@ -304,11 +308,12 @@
 
     def held_items(self) -> dict[str, int]:
         """Return how much the host holds for callers and for other hosts."""
-        kept = sum(sync.state.kept_changes for sync in self.syncs.values())
+        states = [sync.state for sync in self.syncs.values()]
         return {
             "open_requests": len(self.exchanges),
             "answer_bytes": self.answers.held,
-            "kept_changes": kept,
+            "kept_changes": sum(state.kept_changes for state in states),
+            "kept_change_bytes": sum(state.kept_bytes for state in states),
         }
 
     @property
--- a/src/amaranthferry/gateway/telemetry.py
+++ b/src/amaranthferry/gateway/telemetry.py
@@ -231,6 +231,12 @@
             ("kind",),
             {(k,): float(s.state.kept_changes) for k, s in app.syncs.items()},
         ),
+        (
+            "kept_change_bytes",
+            "Bytes of the changes of a kind that are retained for other hosts.",
+            ("kind",),
+            {(k,): float(s.state.kept_bytes) for k, s in app.syncs.items()},
+        ),
         ("store_calls", "Calls to the store so far.", (), {(): app.store_calls}),
         ("store_era", "Era of the store, as last seen.", (), {(): app.store_era}),
         (
--- a/src/amaranthferry/memory.py
+++ b/src/amaranthferry/memory.py
@@ -15,6 +15,8 @@
 DEFAULT_LIMIT = 256 * MEBIBYTE
 #: Part of the limit for the answers that are read as a whole.
 ANSWER_SHARE = 0.25
+#: Part of the limit for the changes of one kind that are retained for other hosts.
+KEPT_CHANGE_SHARE = 0.01
 #: Size up to which an answer never gives way. The servers' slots bound the number of
 #: such answers.
 SMALL_ANSWER_BYTES = 64 * KIBIBYTE
@@ -35,6 +37,11 @@
         """Return the bytes of all answers that are read as a whole."""
         return int(self.limit * ANSWER_SHARE)
 
+    @property
+    def kept_changes(self) -> int:
+        """Return the bytes of the changes of one kind that are retained."""
+        return int(self.limit * KEPT_CHANGE_SHARE)
+
 
 class HeldAnswer:
     """Count the bytes of one answer that is read as a whole."""
--- a/src/amaranthferry/replica/watching.py
+++ b/src/amaranthferry/replica/watching.py
@@ -1,6 +1,5 @@
 """Watch one kind of objects in the store and retain recent changes for peers."""
 
-from collections import deque
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
@@ -22,10 +21,9 @@
 )
 from ..types import HostId, Seconds, SettingsVersion, StoreEra
 from .freshness import Freshness, boot_time
+from .history import DEFAULT_MAX_BYTES, ChangeHistory
 from .items import Unreadable
 
-#: Changes retained for peers; a peer that is further behind reads the store itself.
-MAX_KEPT_CHANGES = 256
 #: Unreadable objects that are remembered so as not to be logged again.
 MAX_UNREADABLE = 256
 #: Failed reads in a row after which the objects are listed.
@@ -69,15 +67,22 @@
     A position of an older era never replaces one of a newer era.
     """
 
-    def __init__(self, kind: str, cache: ObjectCache, freshness: Freshness) -> None:
+    def __init__(
+        self,
+        kind: str,
+        cache: ObjectCache,
+        freshness: Freshness,
+        *,
+        max_kept_bytes: int = DEFAULT_MAX_BYTES,
+    ) -> None:
         self.kind = kind
         self.freshness = freshness
         self.position: Position | None = None
         self.on_change: Callable[[int], None] = lambda since: None
         self.on_lost: Callable[[], None] = lambda: None
         self._cache = cache
-        self._changes: deque[ObjectChange] = deque(maxlen=MAX_KEPT_CHANGES)
-        self._oldest_revision = 0
+        #: Changes for other hosts; one that is further behind reads the store itself.
+        self._history = ChangeHistory(kind, max_kept_bytes)
         self._required_version = SettingsVersion(0)
         self._unavailable = False
         self._lost_at: Seconds = 0.0
@@ -142,9 +147,8 @@
         self._mark_available(sent)
         before = self.position
         if before is None or listing.position >= before:
-            self._changes.clear()
+            self._history.reset(listing.revision)
             self.position = listing.position
-            self._oldest_revision = listing.revision
             objects = [_to_change(item) for item in listing.entries]
             if before is None or listing.era == before.era:
                 self._cache.replace(objects)
@@ -185,25 +189,25 @@
         # The revision of the latest retained change is enough for peers to continue
         # from: the store's revision also counts changes of other kinds.
         since = self.last_change
-        self._record(unseen)
+        for change in unseen:
+            self._history.record(change)
         self._cache.apply(unseen)
         self.on_change(since)
 
-    def _record(self, changes: list[ObjectChange]) -> None:
-        for change in changes:
-            if len(self._changes) == MAX_KEPT_CHANGES:
-                self._oldest_revision = self._changes[0].revision
-            self._changes.append(change)
-
     @property
     def kept_changes(self) -> int:
         """Return the number of changes that are retained for peers."""
-        return len(self._changes)
+        return len(self._history)
+
+    @property
+    def kept_bytes(self) -> int:
+        """Return what the changes that are retained for peers take."""
+        return self._history.size
 
     @property
     def last_change(self) -> int:
         """Return the revision of the latest change, or that of the list before it."""
-        return self._changes[-1].revision if self._changes else self._oldest_revision
+        return self._history.last_revision
 
     def confirm_unchanged(self, found: Position, sent: Seconds) -> None:
         """Confirm the state by a read of another kind that showed the store's revision.
@@ -218,9 +222,7 @@
 
     def changes_since(self, revision: int) -> tuple[ObjectChange, ...] | None:
         """Return the changes after a revision, or None if some are not retained."""
-        if self.revision is None or revision < self._oldest_revision:
-            return None
-        return tuple(c for c in self._changes if c.revision > revision)
+        return None if self.revision is None else self._history.since(revision)
 
     def mark_unavailable(self, problem: str) -> None:
         """Record that the store cannot be read from this host."""
