List the objects when a watch brings too many changes

After an absence of the store one watch may bring all versions of a large configuration, up to 16 MiB of JSON, which take four to six times as much once decoded.

Cause: an answer was bounded as sent, not as decoded, and a watch brings each version though only the last one counts.

Change: changes over 4 MiB aren't decoded; the objects are listed, which has each one once. An answer is decoded from the buffer that it was read into, without a copy. A timeout is named in the message of a lost answer, which was empty for it.

Evidence: test_changes_too_many_to_read_at_once_are_listed_instead failed before (40 changes of a configuration were read), and passes.

Why it works: a list's size depends on the objects, not on how often they were written.

--- a/src/amaranthferry/platform/store.py
+++ b/src/amaranthferry/platform/store.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from ..config import MEBIBYTE
 from ..exceptions import (
     DECODE_ERRORS,
     AnswerLost,
@@ -21,7 +22,7 @@
     decode_items,
     split_members,
 )
-from ..types import Seconds, StoreEra
+from ..types import Position, Seconds, StoreEra
 
 ERA_HEADER = "store-era"
 CONNECT_TIMEOUT: Seconds = 0.5
@@ -29,6 +30,8 @@
 #: Time after the end of its wait in which a watch has to be answered.
 WATCH_TIMEOUT: Seconds = 1.5
 MAX_ERA_DIGITS = 18
+#: Size of changes above which a list, which has each object once, takes less memory.
+MAX_CHANGES_BYTES = 4 * MEBIBYTE
 _PAGE_LIMIT = 10_000
 
 _Body = TypeVar("_Body")
@@ -42,13 +45,6 @@
     """Report an answer whose era is unreadable or older than one already seen."""
 
 
-class Position(NamedTuple):
-    """Identify a state of the store; revisions are given out again in a new era."""
-
-    era: StoreEra
-    revision: int
-
-
 class Metadata(msgspec.Struct, rename="camel"):
     """Describe an object's metadata, maintained by the store."""
 
@@ -124,7 +120,7 @@
 
 
 class _Answer(NamedTuple):
-    body: bytes
+    body: bytearray
     era: StoreEra
 
 
@@ -171,9 +167,7 @@
             if not page.entries or page.entries[-1].name == after:
                 raise _unreadable_error(f"The list of {kind} ends after {after!r}.")
             after = page.entries[-1].name
-        raise _unreadable_error(
-            f"The list of {kind} has more than {_PAGE_LIMIT} pages."
-        )
+        raise _unreadable_error(f"The list of {kind} has over {_PAGE_LIMIT} pages.")
 
     async def get(self, kind: str, name: str) -> StoredObject | None:
         """Return one object, or None if it does not exist."""
@@ -188,6 +182,8 @@
         query = f"?watch={revision}&waitMs={int(wait * 1_000)}"
         path = f"/objects/{kind}{query}"
         answer = await self._call("GET", path, wait=wait)
+        if len(answer.body) > MAX_CHANGES_BYTES:
+            raise HistoryGone("The changes are too many.", remedy="List the objects.")
         found, unreadable = _read_items(answer.body, _Events, "events", _read_event)
         return Changes(found.events, found.at, answer.era, unreadable)
 
@@ -228,7 +224,7 @@
                 CALL_TIMEOUT if wait is None else wait + WATCH_TIMEOUT
             ):
                 start = await conn.start()
-                answer = bytes(await conn.body())
+                answer = await conn.body()
         except (BrokenAnswer, TimeoutError, OSError) as exc:
             conn.abort()
             raise _call_error(exc, method, sent=sent) from exc
@@ -264,7 +260,7 @@
             return await HttpConnection.open(self._address, timeout=CONNECT_TIMEOUT)
         except (OSError, TimeoutError) as exc:
             raise StoreUnavailable(
-                f"Cannot connect to the store at {self._address}: {exc or 'timeout'}.",
+                f"Cannot connect to the store at {self._address}: {str(exc) or 'timeout'}.",
                 remedy="Check the store's address and the network.",
             ) from exc
 
@@ -288,7 +284,7 @@
     return StoreEra(int(text)) if readable else None
 
 
-def _check_status(status: int, body: bytes) -> bytes:
+def _check_status(status: int, body: bytearray) -> bytearray:
     if status < 300:
         return body
     if status == 404:
@@ -308,13 +304,13 @@
 
 
 def _call_error(exc: Exception, method: str, *, sent: bool) -> Exception:
-    problem = f"The store's answer was lost: {exc or 'timeout'}."
+    problem = f"The store's answer was lost: {str(exc) or 'timeout'}."
     if sent and method != "GET":
         return AnswerLost(problem, remedy="Read the object back before a retry.")
     return StoreUnavailable(problem, remedy="Try again after a pause.")
 
 
-def _decode(body: bytes, kind: type[_Body]) -> _Body:
+def _decode(body: bytearray, kind: type[_Body]) -> _Body:
     try:
         return msgspec.json.decode(body, type=kind)
     except DECODE_ERRORS as exc:
@@ -322,7 +318,7 @@
 
 
 def _read_items(
-    body: bytes, kind: type[_Body], field: str, read_item: ItemReader
+    body: bytearray, kind: type[_Body], field: str, read_item: ItemReader
 ) -> tuple[_Body, list[Unreadable]]:
     """Decode an answer, each item of a field by itself where that is needed."""
     try:
--- a/src/amaranthferry/replica/items.py
+++ b/src/amaranthferry/replica/items.py
@@ -68,7 +68,7 @@
 
 
 def decode_items(
-    document: bytes, kind: type[_Body], field: str, read_item: ItemReader
+    document: bytes | bytearray, kind: type[_Body], field: str, read_item: ItemReader
 ) -> tuple[_Body, list[Unreadable]]:
     """Decode a document; if that fails, decode each item of a field by itself.
 
@@ -77,7 +77,7 @@
     try:
         return msgspec.json.decode(document, type=kind), []
     except DECODE_ERRORS:
-        members = split_members(document)
+        members = split_members(bytes(document))
     raw_items = split_items(members.get(field.encode(), b""))
     members[field.encode()] = b"[]"
     rest = b",".join(b'"%b":%b' % member for member in members.items())
--- a/src/amaranthferry/replica/store_sync.py
+++ b/src/amaranthferry/replica/store_sync.py
@@ -24,8 +24,7 @@
 from ..fan_out import children
 from ..gateway.log_events import LogEvent
 from ..messages import Message, StoreUpdate, StoreUpdateRequest
-from ..platform.store import Position
-from ..types import HostId, Seconds, StoreEra
+from ..types import HostId, Position, Seconds, StoreEra
 from .broadcast import pack, unpack
 from .budget import AgeBudget
 from .freshness import boot_time
--- a/src/amaranthferry/replica/watching.py
+++ b/src/amaranthferry/replica/watching.py
@@ -15,11 +15,10 @@
     EraRefused,
     HistoryGone,
     Listing,
-    Position,
     StoreClient,
     StoredObject,
 )
-from ..types import HostId, Seconds, SettingsVersion, StoreEra
+from ..types import HostId, Position, Seconds, SettingsVersion, StoreEra
 from .freshness import Freshness, boot_time
 from .history import DEFAULT_MAX_BYTES, ChangeHistory
 from .items import Unreadable
--- a/src/amaranthferry/types.py
+++ b/src/amaranthferry/types.py
@@ -1,7 +1,7 @@
 """Define the ids and states that every module shares."""
 
 from enum import StrEnum
-from typing import NewType
+from typing import NamedTuple, NewType
 
 HostId = NewType("HostId", str)
 ServerId = NewType("ServerId", str)
@@ -22,6 +22,13 @@
 Tokens = int
 
 
+class Position(NamedTuple):
+    """Identify a state of the store; revisions are given out again in a new era."""
+
+    era: StoreEra
+    revision: int
+
+
 class Outcome(StrEnum):
     """Represent what is known about a request's execution."""
 
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -1,13 +1,16 @@
 import contextlib
+import tracemalloc
 from collections import deque
 
+import msgspec
 import pytest
 from starlette.applications import Starlette
-from starlette.responses import JSONResponse
+from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
 from amaranthferry.exceptions import AnswerLost, StoreUnavailable
-from amaranthferry.platform.store import EraRefused, StoreClient
+from amaranthferry.http_connection import MAX_BODY_BYTES
+from amaranthferry.platform.store import EraRefused, HistoryGone, StoreClient
 from amaranthferry.standins.serving import UnframedResponse, serve
 
 
@@ -93,3 +96,36 @@
         with pytest.raises(StoreUnavailable):
             await store.list("servers")
         await store.stop()
+
+
+def large_changes(count):
+    """Return the answer with changes of a large configuration."""
+    route = {"name": "r", "pathPrefix": "/more/", "type": "safe", "service": "s"}
+    spec = msgspec.Raw(msgspec.json.encode({"version": 1, "routes": [route] * 4_000}))
+    changes = [
+        {"object": {"metadata": {"name": "main", "revision": number}, "spec": spec}}
+        for number in range(count)
+    ]
+    return msgspec.json.encode({"events": changes, "at": count})
+
+
+async def test_changes_too_many_to_read_at_once_are_listed_instead():
+    bodies = [large_changes(2), large_changes(40)]
+    left = deque(bodies)
+
+    async def answer(request):
+        return Response(left.popleft())
+
+    app = Starlette(routes=[Route("/{path:path}", answer)])
+    async with serve(app) as url:
+        store = StoreClient(url.removeprefix("http://"))
+        assert len((await store.watch("config", 0, wait=1.0)).events) == 2
+        assert len(bodies[1]) < MAX_BODY_BYTES
+        tracemalloc.start()
+        with pytest.raises(HistoryGone):
+            await store.watch("config", 0, wait=1.0)
+        taken = tracemalloc.get_traced_memory()[1]
+        tracemalloc.stop()
+        # The stand-in is in this process and holds a copy, too.
+        assert taken < 3 * len(bodies[1])
+        await store.stop()
