Pass over informational answers, and break off one that switches the protocol

What callers saw: a server that sends 103 (or 100, 102) before its answer got its request answered with that status, after which the caller waits for a final answer that never comes; a signed 101 was passed on as an answer, and the error of the parser left the connection to the event loop's handler.

Cause: every head was taken for the final one.

Change: answers below 200 are passed over, within the bound on bytes that are no body; 101 is a broken answer.

An unframed answer that is cut after its head can't be told from a whole one, which the users' pages allow.

--- a/src/amaranthferry/http_connection.py
+++ b/src/amaranthferry/http_connection.py
@@ -24,6 +24,8 @@
 MAX_BODY_BYTES = 16 * 1024 * 1024
 #: Parts of such an answer's body: each one costs processor time, however short it is.
 MAX_BODY_PARTS = MAX_BODY_BYTES // 256
+#: Answers with lower statuses are informational: the final one follows.
+MIN_FINAL_STATUS = 200
 #: Time without acknowledgement of sent data before a connection is closed.
 UNACKNOWLEDGED_TIMEOUT: Seconds = 3.0
 
@@ -111,6 +113,7 @@
         self._complete = False
         self._framed = False
         self._bodiless = False
+        self._informational = False
         self._error: Exception | None = None
         self._sink: Sink | None = None
         self._sink_error: BrokenAnswer | None = None
@@ -180,6 +183,8 @@
         self._received += len(data)
         try:
             self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._fail("The answer switches the protocol, which no request asks for.")
         except httptools.HttpParserError as exc:
             self._fail(f"The answer is not valid HTTP: {exc}.")
         self._buffer_parts()
@@ -259,6 +264,7 @@
             raise BrokenAnswer("The connection is closed.")
         self._parser = httptools.HttpResponseParser(self)
         self._start, self._complete, self._framed = None, False, False
+        self._informational = False
         self._headers, self._keep_alive = [], False
         self._sink = self._sink_error = None
         self._bodiless = method == "HEAD"
@@ -353,10 +359,14 @@
         assert self._parser is not None
         if self._complete:
             return
+        status = self._parser.get_status_code()
+        self._informational = status < MIN_FINAL_STATUS
+        if self._informational:
+            self._headers.clear()
+            return
         framing = self._framing()
         self._framed = framing is not AnswerFraming.CONNECTION_END
         self._keep_alive = self._parser.should_keep_alive() and self._framed
-        status = self._parser.get_status_code()
         self._start = AnswerStart(status, tuple(self._headers), framing)
         if self._bodiless:
             # The parser would wait for the body that the headers announce.
@@ -382,5 +392,6 @@
             self._error = BrokenAnswer("A second answer was received for one request.")
 
     def on_message_complete(self) -> None:
-        """Handle the end of the answer from the parser."""
-        self._complete = True
+        """Handle the end of the answer from the parser; an informational one is none."""
+        if not self._informational:
+            self._complete = True
--- a/tests/test_http_connection.py
+++ b/tests/test_http_connection.py
@@ -194,3 +194,66 @@
     conn.data_received(b"1\r\na\r\n")
     with pytest.raises(BrokenAnswer, match="memory"):
         await reading
+
+
+SIGNATURE = b"x-amaranthferry-server-signature: s\r\n"
+FRAMINGS = {
+    "length": (b"content-length: 5\r\n\r\n", b"hello"),
+    "chunked": (b"transfer-encoding: chunked\r\n\r\n", b"5\r\nhello\r\n" + END),
+    "unframed": (b"\r\n", b"hello"),
+}
+
+
+async def read_answer(data, *, split=0):
+    """Return an answer that its server closes after it, as `status, body`."""
+    conn = HttpConnection()
+    conn.connection_made(FakeTransport())
+    conn.send("GET", "/", [])
+
+    async def read():
+        start = await conn.start()
+        return start.status, bytes(await conn.body())
+
+    reading = asyncio.ensure_future(read())
+    for part in (data[:split], data[split:]):
+        await asyncio.sleep(0)
+        if part and conn.connected:
+            conn.data_received(part)
+    conn.eof_received()
+    conn.connection_lost(None)
+    return await reading
+
+
+@pytest.mark.parametrize("early", [b"", b"HTTP/1.1 103 Early\r\nlink: x\r\n\r\n"])
+@pytest.mark.parametrize("framing", FRAMINGS)
+async def test_answer_cut_at_any_byte_is_complete_only_if_its_framing_says_so(
+    framing, early
+):
+    end_of_head, body = FRAMINGS[framing]
+    head = early + b"HTTP/1.1 200 OK\r\n" + SIGNATURE + end_of_head
+    whole = head + body
+    for cut in range(len(whole)):
+        if framing == "unframed" and cut >= len(head):
+            # Nothing tells such an answer from a whole one.
+            assert await read_answer(whole[:cut]) == (200, whole[len(head) : cut])
+            continue
+        with pytest.raises(BrokenAnswer):
+            await read_answer(whole[:cut], split=cut // 2)
+    assert await read_answer(whole) == (200, b"hello")
+
+
+@pytest.mark.parametrize("status", [b"100 Continue", b"102 Processing", b"103 Early"])
+async def test_informational_answers_are_followed_by_the_final_one(status):
+    end_of_head, body = FRAMINGS["length"]
+    early = b"HTTP/1.1 %b\r\n%b\r\n" % (status, SIGNATURE)
+    final = b"HTTP/1.1 200 OK\r\n" + SIGNATURE + end_of_head + body
+    for split in range(len(early + final)):
+        assert await read_answer(early * 2 + final, split=split) == (200, b"hello")
+    with pytest.raises(BrokenAnswer):
+        await read_answer(early)
+
+
+async def test_answer_that_switches_the_protocol_is_broken():
+    switch = b"HTTP/1.1 101 Switching\r\n%bupgrade: h2c\r\nconnection: upgrade\r\n\r\nx"
+    with pytest.raises(BrokenAnswer, match="protocol"):
+        await read_answer(switch % SIGNATURE)
