Refuse in a planned stop what can't end in its grace period

What callers saw (an operators' report, shown here): a request whose body arrived late in the grace period was taken and passed on; at its end it got a bare 500 while the server still ran it, one that may not be repeated too. What still waited for a server at the end got the same 500, though it had not run.

Cause: whether the host stops was asked when a request's head arrived, never after its body or while it waited, and nothing answered what was left at the end of the grace period: the answer was what the HTTP server makes of a task that is cancelled at exit.

A request that has arrived as a whole after the balancer has turned away is taken only if its deadline lies within the grace period; 2 s before the end what waits and could run past it is refused (503, Retry-After 0.05 s: another host takes it); at the end what still arrives or waits is refused, and what runs is answered 502, as unknown, or broken off if it is a stream. No server is blamed.

Why it works: each request is judged again at the last moment before it may run.

--- a/src/amaranthferry/events.py
+++ b/src/amaranthferry/events.py
@@ -201,7 +201,9 @@
     """Report that bytes were written but no complete answer was received.
 
     `server_ended` tells that the process of the server is known to have ended. Or the
-    answer was complete, `from_server`, but a failure that another server may avoid.
+    answer was complete, `from_server`, but a failure that another server may avoid. Or
+    this host ends the dispatch since it stops, `host_stops`, which no server is to blame
+    for.
     """
 
     request_id: RequestId
@@ -209,6 +211,7 @@
     output_tokens: Tokens = 0
     server_ended: bool = False
     from_server: bool = False
+    host_stops: bool = False
 
 
 class PartLifted(Event, frozen=True):
@@ -227,3 +230,9 @@
     """Begin a planned stop of this host; it may still accept requests for a while."""
 
     refuse_new: bool = True
+
+
+class GraceEnding(Event, frozen=True):
+    """Refuse what waits and may not end before this host does, at `ends_at`."""
+
+    ends_at: Seconds
--- a/src/amaranthferry/gateway/application.py
+++ b/src/amaranthferry/gateway/application.py
@@ -13,6 +13,7 @@
 from ..events import (
     CallerGone,
     DrainStarted,
+    GraceEnding,
     MembersChanged,
     PeerLost,
     PeerReceived,
@@ -49,6 +50,7 @@
 from .log_events import LogEvent
 from .operator_api import OperatorApi, answer
 from .performer import Performer
+from .stopping import StopPlan
 from .telemetry import Telemetry
 
 TICK_PERIOD: Seconds = 0.05
@@ -59,11 +61,6 @@
 WATCH_WAIT: Seconds = 28.0
 #: Time that a request waits for a starting host to load its state.
 INITIALIZATION_TIMEOUT: Seconds = 1.0
-#: Time until the load balancer has seen two failed readiness checks; new requests
-#: still arrive until then.
-BALANCER_LAG: Seconds = 2.6
-#: Time at the end of the grace period that is reserved for closing connections.
-STOP_SLACK: Seconds = 0.5
 #: Fractions of the repeat budget that the hosts share; bursts, refills and the ratio
 #: may use them.
 BURST_FRACTION = 0.4
@@ -137,6 +134,7 @@
         self.peer_key = ""
         self.stopping = False
         self.refusing = False
+        self._stop_plan: StopPlan | None = None
         self._store = StoreClient(settings.store)
         self._store.on_era = self._handle_store_era
         self._peer_address = f"{settings.address}:{settings.ports[0]}"
@@ -263,29 +261,53 @@
 
     async def drain(self) -> None:
         """Hand over the coordinator role and finish requests in the grace period."""
-        began = self.clock()
+        plan = StopPlan.from_grace(self.clock(), self.settings.bounds.grace)
+        self._stop_plan = plan
         self.stopping = True
         _log.info(LogEvent.HOST_DRAINING, requests=len(self.exchanges))
         if self._members is not None:
             self._members.begin_drain()
         self.handle(DrainStarted(now=self.clock(), refuse_new=False))
-        await asyncio.sleep(BALANCER_LAG)
+        await asyncio.sleep(plan.refuses_at - self.clock())
         # A request that arrives now could exceed the grace period; others serve it.
         self.refusing = True
         self._frontend.close_idle()
-        left = self.settings.bounds.grace - STOP_SLACK - (self.clock() - began)
-        try:
-            async with asyncio.timeout(left):
-                await self._wait_idle()
-        except TimeoutError:
-            _log.warning(LogEvent.HOST_CUT_OFF, requests=self._edge.open_requests)
+        await self._finish_requests(plan)
         if self._members is not None:
             await self._members.leave()
 
-    async def _wait_idle(self) -> None:
-        while not self._is_idle:
-            self._idle.clear()
-            await self._idle.wait()
+    async def _finish_requests(self, plan: StopPlan) -> None:
+        """Wait for the requests; answer those that don't end in the grace period."""
+        if await self._wait_idle(plan.hands_back_at):
+            return
+        self._hand_back(plan)
+        if await self._wait_idle(plan.ends_at):
+            return
+        _log.warning(LogEvent.HOST_CUT_OFF, requests=self._edge.open_requests)
+        self._hand_back(plan)
+        self._edge.stop_reading()
+        for exchange in list(self.exchanges.values()):
+            self._performer.end_for_stop(exchange)
+
+    def _hand_back(self, plan: StopPlan) -> None:
+        """Refuse what waits and might not end in time."""
+        self.handle(GraceEnding(now=self.clock(), ends_at=plan.ends_at))
+
+    def admits(self, deadline: Seconds) -> bool:
+        """Return whether a request that has arrived as a whole may be taken."""
+        plan = self._stop_plan
+        return plan is None or plan.admits(self.clock(), deadline=deadline)
+
+    async def _wait_idle(self, until: Seconds) -> bool:
+        """Wait until no request is left; return False if a time comes first."""
+        try:
+            async with asyncio.timeout(until - self.clock()):
+                while not self._is_idle:
+                    self._idle.clear()
+                    await self._idle.wait()
+        except TimeoutError:
+            return False
+        return True
 
     @property
     def _is_idle(self) -> bool:
--- a/src/amaranthferry/gateway/edge.py
+++ b/src/amaranthferry/gateway/edge.py
@@ -24,6 +24,7 @@
 from ..platform.desired import CONFIG_KIND
 from ..problems import Problem
 from ..replica.statements import Statement
+from ..running import OTHER_HOST_RETRY
 from ..types import ModelId, PoolId, Seconds
 from .dispatching import RoutedCall
 from .exchange import BufferedAnswer, RoutedExchange, TruncatedAnswer
@@ -41,8 +42,7 @@
 DEFAULT_TIMEOUT: Seconds = 30.0
 #: Retry-After for requests that a host cannot admit yet.
 NOT_READY_RETRY: Seconds = 0.5
-#: Retry-After from a stopping host; another host can serve the request at once.
-OTHER_HOST_RETRY: Seconds = 0.05
+STOPPING = "This host is stopping."
 CALLER_STALL_TIMEOUT: Seconds = 30.0
 #: Bytes of a whole answer that are written at once.
 PIECE_BYTES = 64 * KIBIBYTE
@@ -60,6 +60,8 @@
         self._app = app
         #: Requests that have been read in part and have no complete answer.
         self.open_requests = 0
+        #: The timeouts of the bodies that are arriving.
+        self._reading: set[asyncio.Timeout] = set()
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one request."""
@@ -141,7 +143,7 @@
         fields = dict(received)
         params = headers.read_request_params(fields)
         if self._app.refusing:
-            raise _not_ready_error("This host is stopping.")
+            raise _not_ready_error(STOPPING)
         await self._app.wait_initialized()
         route_table = self._app.config.route_table
         if route_table is None:
@@ -157,15 +159,13 @@
         routed_service = route_table.catalog.services.get(service)
         if routed_service is None:
             raise _not_ready_error("The route's service is not configured.")
-        try:
-            body = await read_body(
-                _chunks(receive), route_table.catalog.limits.max_body
-            )
-        except RequestError as exc:
-            if exc.code == BODY_TOO_LARGE:
-                self._check_current(Statement.BODY_TOO_LARGE, arrived)
-            raise
         limit = route.timeout or DEFAULT_TIMEOUT
+        deadline = arrived + min(params.remaining or DEFAULT_TIMEOUT, limit)
+        body = await self._read_body(
+            receive, route_table.catalog.limits.max_body, arrived
+        )
+        if not self._app.admits(deadline):
+            raise _not_ready_error(STOPPING)
         workspace = subscriber.workspace if subscriber else ANONYMOUS
         target = _target(scope)
         call = RoutedCall(
@@ -178,7 +178,7 @@
             headers=tuple(received),
             body=body,
             arrived=arrived,
-            deadline=arrived + min(params.remaining or DEFAULT_TIMEOUT, limit),
+            deadline=deadline,
             event_tokens=routed_service.engine.event_tokens
             if routed_service.engine
             else 1,
@@ -196,6 +196,27 @@
         models = engine.models if engine else ()
         return call, _arrival(call, service, subscriber, models)
 
+    async def _read_body(
+        self, receive: Receive, max_size: int, arrived: Seconds
+    ) -> bytes:
+        try:
+            async with asyncio.timeout(None) as reading:
+                self._reading.add(reading)
+                return await read_body(_chunks(receive), max_size)
+        except TimeoutError:
+            raise _not_ready_error(STOPPING) from None
+        except RequestError as exc:
+            if exc.code == BODY_TOO_LARGE:
+                self._check_current(Statement.BODY_TOO_LARGE, arrived)
+            raise
+        finally:
+            self._reading.discard(reading)
+
+    def stop_reading(self) -> None:
+        """Refuse the requests whose bodies have not arrived as a whole."""
+        for reading in self._reading:
+            reading.reschedule(asyncio.get_running_loop().time())
+
     def _check_current(self, denial: Statement, now: Seconds) -> None:
         """Refuse a request that a newer configuration than the known one may allow."""
         if not self._app.freshness.may_say(denial, now):
--- a/src/amaranthferry/gateway/performer.py
+++ b/src/amaranthferry/gateway/performer.py
@@ -79,10 +79,28 @@
         if not req.is_running:
             app.handle(CallerGone(now=app.clock(), request_id=request_id))
             return
+        self._end_dispatch(exchange, timed_out=True)
+
+    def end_for_stop(self, exchange: RoutedExchange) -> None:
+        """End a running request, which may have been executed, as this host stops."""
+        self._end_dispatch(exchange, host_stops=True)
+
+    def _end_dispatch(
+        self,
+        exchange: RoutedExchange,
+        *,
+        timed_out: bool = False,
+        host_stops: bool = False,
+    ) -> None:
         if exchange.task is not None:
             exchange.task.cancel()
-        app.handle(
-            DispatchFailed(now=app.clock(), request_id=request_id, timed_out=True)
+        self.app.handle(
+            DispatchFailed(
+                now=self.app.clock(),
+                request_id=exchange.call.request_id,
+                timed_out=timed_out,
+                host_stops=host_stops,
+            )
         )
 
 
--- a/src/amaranthferry/running.py
+++ b/src/amaranthferry/running.py
@@ -16,6 +16,7 @@
     DispatchFinished,
     DispatchRefused,
     FirstTokenSeen,
+    GraceEnding,
     TokensSeen,
 )
 from .harm.updates import accuse, acquit_request, is_settled, record_sound
@@ -34,6 +35,8 @@
 
 MAX_CONNECTION_RETRIES = 3
 SERVER_REFUSED_RETRY: Seconds = 1.0
+#: Retry-After from a stopping host; another host can serve the request at once.
+OTHER_HOST_RETRY: Seconds = 0.05
 
 
 @apply_event.register
@@ -144,7 +147,7 @@
     accused = accuse(state, req) if event.server_ended else []
     if event.from_server:
         acquit_request(state, req)
-    rerun = req.may_rerun and not event.timed_out
+    rerun = req.may_rerun and not (event.timed_out or event.host_stops)
     if rerun and _spend_repeat_budget(state, req):
         effects = [*accused, *_release(state, req, failed=True)]
         req.transition_to(RequestState.WAITING)
@@ -156,7 +159,7 @@
     cause = WasteCause.CALLER_GONE if cancelled else WasteCause.FAILED
     effects = [
         *accused,
-        *_release(state, req, failed=not cancelled),
+        *_release(state, req, failed=not (cancelled or event.host_stops)),
         SettleRequest(request_id=event.request_id, outcome=Outcome.UNKNOWN),
         CountMetric(name=f"requests.{req.arrival.tier}.unknown"),
         _wasted_prefill(cause, float(req.arrival.prompt_tokens)),
@@ -248,6 +251,16 @@
     return effects + refuse(state, req, RefusalReason.CALLER_GONE, 0.0)
 
 
+@apply_event.register
+def _(event: GraceEnding, state: HostState) -> list[Effect]:
+    effects: list[Effect] = []
+    for req in list(state.requests.values()):
+        if not (req.is_running or req.is_final) and req.deadline > event.ends_at:
+            effects += withdraw(state, req)
+            effects += refuse(state, req, RefusalReason.DRAINING, OTHER_HOST_RETRY)
+    return effects
+
+
 def _cancel(req: Request) -> list[Effect]:
     must_complete = req.work_class.never_repeated or req.arrival.idempotency_key
     if must_complete or not req.work_class.cancel_when_caller_gone:
