Count the requests of a limit's turn instead of listing them

Cause: an allowance kept one entry for each request that may be sent, and the limit is a number that a server names: at 100,000,000 a second a turn has 10,000,000 of them, at each host, since hosts tell each other.

Change: an allowance keeps the number of requests of each turn.

A property test compares the counted requests with single ones, as they were kept before.

Why it works: the entries are bounded by the turns within the hold time, some ten, whatever the rate is.

--- a/src/amaranthferry/limits/turns.py
+++ b/src/amaranthferry/limits/turns.py
@@ -97,8 +97,9 @@
         self._turn = self._turn_at(now)
         #: Requests that were sent since the limit was named.
         self.used = 0
-        #: The start of the turn that each unused request comes from.
-        self._unused: deque[Seconds] = deque()
+        #: The unused requests of each turn: its start and their number.
+        self._unused: deque[tuple[Seconds, int]] = deque()
+        self._available = 0
 
     def follows(self, rate: float, since: Seconds) -> bool:
         """Return whether this is the allowance of a limit that was named at a time."""
@@ -107,7 +108,7 @@
     @property
     def available(self) -> int:
         """Return the requests that may be sent now, as of the last refresh."""
-        return len(self._unused)
+        return self._available
 
     def refresh(self, owners: TurnOwners, now: Seconds) -> None:
         """Add the requests of turns that have begun, and drop what has expired."""
@@ -116,25 +117,38 @@
         for turn in range(first, current + 1):
             if owners.owns(self._name, turn):
                 began = self._since + turn * self._interval
-                self._unused.extend([began] * self._requests_in(turn))
+                self._add(began, self._requests_in(turn))
         self._turn = max(self._turn, current)
-        while self._unused and self._unused[0] < now - self._hold:
-            self._unused.popleft()
+        while self._unused and self._unused[0][0] < now - self._hold:
+            self._drop(self._unused[0][1])
         if owners.part is Part.ALL:
             most = max(1, math.floor(self.rate * MAX_SAVED_TIME))
-            while len(self._unused) > most:
-                self._unused.popleft()
+            self._drop(self._available - most)
 
     def take(self) -> None:
         """Use one request."""
         self.used += 1
-        if self._unused:
-            self._unused.popleft()
+        self._drop(1)
 
     def give_back(self, now: Seconds) -> None:
         """Return a request that was not sent; it may be used for a short while."""
         self.used -= 1
-        self._unused.append(now)
+        self._add(now, 1)
+
+    def _add(self, began: Seconds, count: int) -> None:
+        if count:
+            self._unused.append((began, count))
+            self._available += count
+
+    def _drop(self, count: int) -> None:
+        """Drop the oldest unused requests, as far as there are any."""
+        while count > 0 and self._unused:
+            began, size = self._unused.popleft()
+            if size > count:
+                self._unused.appendleft((began, size - count))
+            dropped = min(size, count)
+            self._available -= dropped
+            count -= dropped
 
     def _turn_at(self, now: Seconds) -> int:
         return math.floor((now - self._since) / self._interval)
--- a/tests/limits/test_turns.py
+++ b/tests/limits/test_turns.py
@@ -1,10 +1,18 @@
 import itertools
+import math
+import tracemalloc
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from amaranthferry.limits.turns import (
     ALL_TURNS,
+    HOLD_TIME,
+    HOLD_TURNS,
+    MAX_SAVED_TIME,
     MIN_RATE,
+    MIN_TURN,
     TURNS_PER_SECONDARY,
     Allowance,
     Part,
@@ -119,3 +127,72 @@
     assert allowance.available == 1
     allowance.refresh(ALL_TURNS, 1.9)
     assert allowance.available == 1
+
+
+@pytest.mark.parametrize("rate", [10_000.0, 999_999_999.9])
+@pytest.mark.parametrize("part", [Part.ALL, Part.SHARE, Part.SECONDARY])
+def test_high_rate_takes_no_more_memory_than_a_low_one(rate, part):
+    names = hosts(3)
+    owners = TurnOwners(part, names, names)
+    tracemalloc.start()
+    allowance = Allowance("s", rate, 0.0, 0.0)
+    for tick in range(1, 40):
+        allowance.refresh(owners, tick * STEP)
+    held = tracemalloc.get_traced_memory()[1]
+    tracemalloc.stop()
+    assert allowance.available > 1
+    assert held < 50_000
+
+
+class CountedAllowance:
+    """Model an allowance with one item for each unused request."""
+
+    def __init__(self, rate, owners):
+        self._model = Allowance("s", rate, 0.0, 0.0)
+        self.rate, self.owners = self._model.rate, owners
+        self._interval = max(MIN_TURN, 1.0 / self.rate)
+        self._hold = HOLD_TIME + HOLD_TURNS / self.rate
+        self._turn = 0
+        self.unused = []
+
+    def refresh(self, now):
+        current = math.floor(now / self._interval)
+        first = max(self._turn + 1, math.floor((now - self._hold) / self._interval))
+        per_turn = self.rate * self._interval
+        for turn in range(first, current + 1):
+            if self.owners.owns("s", turn):
+                count = math.floor((turn + 1) * per_turn) - math.floor(turn * per_turn)
+                self.unused += [turn * self._interval] * count
+        self._turn = max(self._turn, current)
+        while self.unused and self.unused[0] < now - self._hold:
+            self.unused.pop(0)
+        if self.owners.part is Part.ALL:
+            most = max(1, math.floor(self.rate * MAX_SAVED_TIME))
+            self.unused = self.unused[max(0, len(self.unused) - most) :]
+
+
+STEPS = st.lists(st.tuples(st.sampled_from("rtg"), st.floats(0.0, 0.6)), max_size=60)
+
+
+@given(
+    st.sampled_from([0.05, 0.7, 3.3, 40.0]),
+    st.sampled_from(list(Part)),
+    STEPS,
+)
+def test_counted_requests_are_those_of_single_items(rate, part, steps):
+    names = hosts(3)
+    owners = TurnOwners(part, names, frozenset(("host-0", "host-1")))
+    allowance, model, now = Allowance("s", rate, 0.0, 0.0), None, 0.0
+    model = CountedAllowance(rate, owners)
+    for step, pause in steps:
+        now += pause
+        if step == "r":
+            allowance.refresh(owners, now)
+            model.refresh(now)
+        elif step == "t":
+            allowance.take()
+            model.unused = model.unused[1:]
+        else:
+            allowance.give_back(now)
+            model.unused.append(now)
+        assert allowance.available == len(model.unused)
