Read a request that offers an upgrade as its caller has framed it

Cause: the parser ends such a request at its head, where the other protocol would begin, and takes what follows for the next request. Nothing here compared that with the length that the request announces.

Change: the listener takes up no upgrade. It builds the head again without the offer and parses it and what follows as usual, so the framing is the caller's. CONNECT, which has no other meaning, is answered 400; `request.malformed` says why a request was.

Why it works: the request is parsed without the one field that changes where it ends.

--- a/src/amaranthferry/gateway/listener.py
+++ b/src/amaranthferry/gateway/listener.py
@@ -5,11 +5,14 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, Protocol
 
+import httptools
+import structlog
 import uvicorn
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 from uvicorn.server import ServerState
 
 from ..types import Seconds
+from .log_events import LogEvent
 
 BACKLOG = 512
 #: Time for the first request of a connection that is accepted just before the stop.
@@ -19,6 +22,8 @@
 CLOSE_CHECK_PERIOD: Seconds = 0.01
 #: Key of a request's `FlowState` in its ASGI state.
 FLOW_STATE = "flow"
+UPGRADE = b"upgrade"
+_log = structlog.get_logger(__name__)
 Application = Callable[[Any, Any, Any], Awaitable[None]]
 
 
@@ -29,12 +34,65 @@
 
 
 class _Protocol(HttpToolsProtocol):
-    """Give each request the flow state of its connection."""
+    """Read each request as its caller has framed it, whatever else it offers.
+
+    The parser ends a request that offers an upgrade at its head, where another protocol
+    would begin. None is taken up here, so the request is parsed again without the offer.
+    """
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         super().connection_made(transport)
         self.app_state[FLOW_STATE] = self.flow
 
+    def data_received(self, data: bytes) -> None:
+        self._unset_keepalive_if_required()
+        while data:
+            try:
+                self.parser.feed_data(data)
+            except httptools.HttpParserUpgrade as exc:
+                data = self._without_offer() + data[exc.args[0] :]
+                if self.transport.is_closing():
+                    return
+                self.parser = httptools.HttpRequestParser(self)
+            except httptools.HttpParserError as exc:
+                self._refuse(f"Invalid HTTP request received: {exc}.")
+                return
+            else:
+                return
+
+    def _without_offer(self) -> bytes:
+        """Return the head of the request that was parsed last without its offer."""
+        method = self.parser.get_method()
+        if method == b"CONNECT":
+            self._refuse("CONNECT is not supported.")
+            return b""
+        lines = [b"%b %b HTTP/%b" % (method, self.url, self._http_version)]
+        lines += [
+            b"%b: %b" % (name, value) for name, value in self.headers if name != UPGRADE
+        ]
+        return b"\r\n".join(lines) + b"\r\n\r\n"
+
+    @property
+    def _http_version(self) -> bytes:
+        return self.parser.get_http_version().encode("ascii")
+
+    def _refuse(self, problem: str) -> None:
+        """Answer what is no request with 400, and close the connection."""
+        _log.info(LogEvent.REQUEST_MALFORMED, problem=problem)
+        self.send_400_response("Invalid HTTP request received.")
+
+    def on_headers_complete(self) -> None:
+        if not self.parser.should_upgrade():
+            super().on_headers_complete()
+
+    def on_body(self, body: bytes) -> None:
+        if not self.parser.should_upgrade():
+            super().on_body(body)
+
+    def on_message_complete(self) -> None:
+        if not self.parser.should_upgrade():
+            super().on_message_complete()
+
 
 class Listener:
     """Serve one ASGI application on one address."""
