Compare the version with another host's before the first request

Cause: a starting host learned from replies of others which version is in force, and asked none while its own reads of the store succeeded; the first reader never did. A reply of a host that still held the older era was put aside together with the version that it named.

Change: a host admits requests, and says that it is ready, once another host has told it the version in force, or after 0.8 s without any answer; `compared` in `host.ready` says which. A version counts whatever era its sender is in, since versions in force never revert.

Why it works: the version that another live host names stays required, so the older state is taken as outdated until the operator has written again.

--- a/src/amaranthferry/gateway/application.py
+++ b/src/amaranthferry/gateway/application.py
@@ -61,6 +61,10 @@
 WATCH_WAIT: Seconds = 28.0
 #: Time that a request waits for a starting host to load its state.
 INITIALIZATION_TIMEOUT: Seconds = 1.0
+#: Time in which a starting host asks others for the version in force, and the pause
+#: between two attempts. Without an answer it serves by what the store says.
+COMPARISON_TIMEOUT: Seconds = 0.8
+COMPARISON_PAUSE: Seconds = 0.05
 #: Fractions of the repeat budget that the hosts share; bursts, refills and the ratio
 #: may use them.
 BURST_FRACTION = 0.4
@@ -153,6 +157,7 @@
         self._found: dict[HostId, str] = {}
         self._started_at = boot_time()
         self._initialized = asyncio.Event()
+        self._is_checking = False
         self._keys_current = False
         self._waiting_logged_at: Seconds = 0.0
         self._roles: tuple[dict[ShardId, HostId], tuple[ShardId, ...]] = ({}, ())
@@ -356,7 +361,8 @@
         )
         now = self.clock()
         fresh = all(sync.state.freshness.is_ready(now) for sync in self.syncs.values())
-        return configured and fresh and not self.stopping
+        initialized = self._initialized.is_set()
+        return initialized and configured and fresh and not self.stopping
 
     def can_rerun(self, request_id: RequestId) -> bool:
         """Return whether a running request could go to another server instead."""
@@ -460,15 +466,29 @@
     def _check_initialized(self) -> None:
         """Admit requests once the configuration and the other hosts are known."""
         joined = self._has_host_list or len(self.state.hosts) > 1
-        if self.config.catalog is not None and joined:
-            if not self._initialized.is_set():
-                _log.info(
-                    LogEvent.HOST_READY,
-                    hosts=len(self.state.hosts),
-                    version=self.config.catalog.version,
-                    after=round(self.clock() - self._started_at, 3),
-                )
-            self._initialized.set()
+        if self.config.catalog is not None and joined and not self._is_checking:
+            self._is_checking = True
+            self.spawn(self._compare_version())
+
+    async def _compare_version(self) -> None:
+        """Learn from another host which version is in force, before the first request.
+
+        The store may have been restored from a copy that is older.
+        """
+        sync, until = self.syncs[CONFIG_KIND], self.clock() + COMPARISON_TIMEOUT
+        answered = False
+        while not answered and len(self.state.hosts) > 1 and self.clock() < until:
+            answered = await sync.hear_version()
+            if not answered:
+                await asyncio.sleep(COMPARISON_PAUSE)
+        _log.info(
+            LogEvent.HOST_READY,
+            hosts=len(self.state.hosts),
+            version=self.config.version,
+            compared=answered,
+            after=round(self.clock() - self._started_at, 3),
+        )
+        self._initialized.set()
 
     async def wait_initialized(self) -> None:
         """Wait up to INITIALIZATION_TIMEOUT for the state that admission requires."""
--- a/src/amaranthferry/gateway/log_events.py
+++ b/src/amaranthferry/gateway/log_events.py
@@ -12,7 +12,7 @@
 
     # Life cycle of the process.
     HOST_STARTING = "host.starting"  # zone
-    HOST_READY = "host.ready"  # hosts, version, after
+    HOST_READY = "host.ready"  # hosts, version, compared, after
     HOST_DRAINING = "host.draining"  # requests
     HOST_CUT_OFF = "host.cut_off"  # requests
     HOST_STOPPED = "host.stopped"
--- a/src/amaranthferry/replica/store_sync.py
+++ b/src/amaranthferry/replica/store_sync.py
@@ -33,6 +33,11 @@
 
 READER_COUNT = 2
 ANSWER_TIMEOUT: Seconds = 0.25
+#: Hosts that are asked together for the version in force, the time for an answer, and
+#: the time that the others get after the first one.
+MAX_ASKED = 4
+VERSION_TIMEOUT: Seconds = 0.1
+VERSION_SPREAD: Seconds = 0.02
 #: Limits of the compressed changes in a reply and in an update that is broadcast; a
 #: host reads larger ones from the store.
 MAX_REPLY_BYTES = 8 * 1024
@@ -359,7 +364,9 @@
             self._broadcast(before)
         return succeeded
 
-    async def _request_update(self, source: HostId) -> _Result:
+    async def _request_update(
+        self, source: HostId, *, timeout: Seconds = ANSWER_TIMEOUT
+    ) -> _Result:
         self._last_number += 1
         number, sent = self._last_number, boot_time()
         revision, era = self._state.revision or 0, self._state.era
@@ -369,23 +376,47 @@
             request = StoreUpdateRequest(number, self._state.kind, revision, era)
             if not self._send(source, request):
                 return _Result.SILENT
-            async with asyncio.timeout(ANSWER_TIMEOUT):
+            async with asyncio.timeout(timeout):
                 update = await fut
         except TimeoutError:
             _log.info(LogEvent.READER_SILENT, kind=self._state.kind, reader=source)
             return _Result.SILENT
         finally:
             del self._pending[number]
+        # A restored store doesn't make the version that is in force an older one.
+        self._state.require_version(update.version)
         if update.era < self._state.era:
             return _Result.STALE
         # A host that can't read the store learns of no change, however recent its state.
         stale = update.store_lost or update.age > self._budget.update_age
         if not self._apply(update):
             return _Result.STALE if stale else _Result.BEHIND
-        self._state.require_version(update.version)
         self._state.confirm(sent - update.age, source)
         return _Result.STALE if stale else _Result.CURRENT
 
+    async def hear_version(self) -> bool:
+        """Ask some hosts for the version in force; return whether one has answered.
+
+        A store that was restored may hold an older version than they do.
+        """
+        sources = self._sources()
+        others = [host for host in self._others if host not in sources]
+        count = min(len(others), MAX_ASKED)
+        asked = [*sources, *random.sample(others, count)][:MAX_ASKED]
+        calls = [
+            asyncio.ensure_future(self._request_update(host, timeout=VERSION_TIMEOUT))
+            for host in asked
+        ]
+        try:
+            for call in asyncio.as_completed(calls):
+                if await call is not _Result.SILENT:
+                    await asyncio.wait(calls, timeout=VERSION_SPREAD)
+                    return True
+        finally:
+            for fut in calls:
+                fut.cancel()
+        return False
+
     def _apply(self, update: StoreUpdate) -> bool:
         """Apply an update; return whether it continues from the known position."""
         known = self._state.position
--- a/tests/gateway/test_store_eras.py
+++ b/tests/gateway/test_store_eras.py
@@ -7,6 +7,7 @@
 
 from amaranthferry.embedded import free_address
 from amaranthferry.replica.roster import RETURN_GRACE
+from amaranthferry.replica.store_sync import choose_readers
 from amaranthferry.standins.metadata import StoreFault
 
 from .fleet import KEY, config, entry, fleet
@@ -201,3 +202,83 @@
         assert not await accepted(caller, 0, KEY)
         client._address = system.store_address
         await until_all(system, caller, {KEY: False, NEW_KEY: True})
+
+
+def name_of_rank(system, rank):
+    """Return the name of a new host that would be the reader of a rank, or none (-1)."""
+    others = [app.settings.host for app in system.hosts]
+
+    def rank_of(name):
+        readers = choose_readers([*others, name])
+        return readers.index(name) if name in readers else -1
+
+    names = (f"late-{number}" for number in range(200))
+    return next(name for name in names if rank_of(name) == rank)
+
+
+@contextlib.asynccontextmanager
+async def restored_before_a_revocation():
+    """Run hosts that know a revocation that the restored store doesn't."""
+    async with settled_fleet() as (system, caller):
+        await asyncio.sleep(1.0)
+        await system.store.put("config", "main", config(2, keys=[NEW_KEY]))
+        await until_all(system, caller, {KEY: False, NEW_KEY: True})
+        await asyncio.sleep(1.0)
+        await drill(system, age=1.6)
+        assert system.store.objects("config")["main"]["version"] == 1
+        yield system, caller
+
+
+async def count_accepted(caller, host, key, *, seconds):
+    loop = asyncio.get_running_loop()
+    until = loop.time() + seconds
+    found = 0
+    while loop.time() < until:
+        found += await accepted(caller, host, key)
+        await asyncio.sleep(0.02)
+    return found
+
+
+@pytest.mark.parametrize("rank", [0, 1, -1])
+async def test_host_that_starts_after_a_drill_serves_no_revoked_key(rank):
+    async with restored_before_a_revocation() as (system, caller):
+        await system.add_host(name_of_rank(system, rank))
+        assert not await count_accepted(caller, 3, KEY, seconds=2.0)
+        await system.store.put("config", "main", config(2, keys=[NEW_KEY]))
+        await until_all(system, caller, {KEY: False, NEW_KEY: True})
+
+
+async def test_hosts_that_start_together_after_a_drill_serve_no_revoked_key():
+    async with restored_before_a_revocation() as (system, caller):
+        await system.add_host(name_of_rank(system, 0))
+        await system.add_host(name_of_rank(system, 0))
+        found = [count_accepted(caller, host, KEY, seconds=2.0) for host in (3, 4)]
+        assert await asyncio.gather(*found) == [0, 0]
+
+
+async def test_reader_that_restarts_twice_after_a_drill_serves_no_revoked_key():
+    async with restored_before_a_revocation() as (system, caller):
+        for _ in range(2):
+            late = await system.add_host(name_of_rank(system, 0))
+            host = len(system.hosts) - 1
+            assert not await count_accepted(caller, host, KEY, seconds=1.0)
+            await late.drain()
+
+
+async def test_host_that_starts_alone_serves_what_the_store_says():
+    async with fleet() as (system, caller):
+        await until(lambda: system.hosts[0].is_ready, seconds=2)
+        assert await accepted(caller, 0, KEY)
+
+
+async def test_host_that_starts_beside_hosts_that_are_gone_serves_in_time():
+    async with fleet(hosts=0) as (system, caller):
+        for number in range(20):
+            gone = {"address": free_address()}
+            await system.store.put("entryhosts", f"gone-{number}", gone)
+        began = asyncio.get_running_loop().time()
+        await system.add_host("host-0")
+        async with asyncio.timeout(5):
+            while not await accepted(caller, 0, KEY):
+                await asyncio.sleep(0.02)
+        assert asyncio.get_running_loop().time() - began < 2.0
