Have long request bodies wait unread while there is no memory for them

What callers saw: 40 callers that uploaded 4 MiB each to one host at once ended its process; all of them, and whoever else it served, got no answer.

Cause: `maxBodyBytes` holds for each request alone; nothing bounded the sum. A body was also copied once more to put its head before it.

Change: memory.py divides a fifth of the limit among the bodies of over 64 KiB, counted with what they are announced to have. A body without room stays unread, in the order of arrival; after half of its request's time the caller gets 503, not run, with Retry-After. The shares are a fifth each for answers and bodies, so that both at once stay within half of what a calm host leaves free. `body_bytes` is a gauge and in `memory.high`.

Why it works: the connection of a body that isn't read is paused, so the caller waits.

--- a/src/amaranthferry/gateway/application.py
+++ b/src/amaranthferry/gateway/application.py
@@ -22,7 +22,7 @@
     Ticked,
 )
 from ..membership import Member, MembershipAgent
-from ..memory import AnswerMemory, MemoryBudget
+from ..memory import AnswerMemory, BodyMemory, MemoryBudget
 from ..messages import Message, StoreUpdate, StoreUpdateRequest
 from ..peers import PeerNetwork
 from ..platform.desired import CONFIG_KIND, SERVER_KIND
@@ -133,6 +133,7 @@
         self.lateness = Lateness(self.clock())
         self._memory_budget = MemoryBudget.from_limit(settings.memory)
         self.answers = AnswerMemory(self._memory_budget.answers)
+        self.bodies = BodyMemory(self._memory_budget.bodies)
         self._footprint = Footprint(settings.memory)
         #: The key that the hosts share; empty until it has been read.
         self.peer_key = ""
@@ -339,6 +340,7 @@
         return {
             "open_requests": len(self.exchanges),
             "answer_bytes": self.answers.held,
+            "body_bytes": self.bodies.held,
             "kept_changes": sum(state.kept_changes for state in states),
             "kept_change_bytes": sum(state.kept_bytes for state in states),
         }
--- a/src/amaranthferry/gateway/edge.py
+++ b/src/amaranthferry/gateway/edge.py
@@ -1,7 +1,13 @@
 """Receive routed requests over HTTP and answer them."""
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable, MutableMapping
+from collections.abc import (
+    AsyncIterator,
+    Awaitable,
+    Callable,
+    Coroutine,
+    MutableMapping,
+)
 from typing import TYPE_CHECKING, Any
 
 import structlog
@@ -20,6 +26,7 @@
 from ..exceptions import RequestError
 from ..harm.digest import digest_request
 from ..http_connection import AnswerStart
+from ..memory import SMALL_BODY_BYTES, BodyMemory, BodyRoom
 from ..platform import headers
 from ..platform.desired import CONFIG_KIND
 from ..problems import Problem
@@ -43,6 +50,10 @@
 #: Retry-After for requests that a host cannot admit yet.
 NOT_READY_RETRY: Seconds = 0.5
 STOPPING = "This host is stopping."
+#: Part of a request's time for which its body may wait for room.
+MAX_ROOM_WAIT = 0.5
+NO_ROOM = "no_room"
+NO_ROOM_RETRY: Seconds = 1.0
 CALLER_STALL_TIMEOUT: Seconds = 30.0
 #: Bytes of a whole answer that are written at once.
 PIECE_BYTES = 64 * KIBIBYTE
@@ -83,8 +94,23 @@
             (k.decode("latin-1"), v.decode("latin-1")) for k, v in scope["headers"]
         ]
         arrived = self._app.clock()
+        room = _Room(self._app.bodies)
         try:
-            call, arrival = await self._admit(scope, received, receive, arrived)
+            await self._serve(scope, received, receive, responder, arrived, room)
+        finally:
+            room.release()
+
+    async def _serve(
+        self,
+        scope: Scope,
+        received: list[tuple[str, str]],
+        receive: Receive,
+        responder: "Responder",
+        arrived: Seconds,
+        room: "_Room",
+    ) -> None:
+        try:
+            call, arrival = await self._admit(scope, received, receive, arrived, room)
         except RequestError as exc:
             self._record_refusal(received, scope, exc)
             await responder.problem(
@@ -139,6 +165,7 @@
         received: list[tuple[str, str]],
         receive: Receive,
         arrived: Seconds,
+        room: "_Room",
     ) -> tuple[RoutedCall, RequestArrived]:
         fields = dict(received)
         params = headers.read_request_params(fields)
@@ -161,8 +188,10 @@
             raise _not_ready_error("The route's service is not configured.")
         limit = route.timeout or DEFAULT_TIMEOUT
         deadline = arrived + min(params.remaining or DEFAULT_TIMEOUT, limit)
+        max_size = route_table.catalog.limits.max_body
+        size = _body_size(fields, max_size)
         body = await self._read_body(
-            receive, route_table.catalog.limits.max_body, arrived
+            receive, max_size, arrived, room.wait(size, deadline - arrived)
         )
         if not self._app.admits(deadline):
             raise _not_ready_error(STOPPING)
@@ -197,11 +226,16 @@
         return call, _arrival(call, service, subscriber, models)
 
     async def _read_body(
-        self, receive: Receive, max_size: int, arrived: Seconds
+        self,
+        receive: Receive,
+        max_size: int,
+        arrived: Seconds,
+        has_room: Coroutine[Any, Any, None],
     ) -> bytes:
         try:
             async with asyncio.timeout(None) as reading:
                 self._reading.add(reading)
+                await has_room
                 return await read_body(_chunks(receive), max_size)
         except TimeoutError:
             raise _not_ready_error(STOPPING) from None
@@ -264,6 +298,33 @@
             await responder.end()
 
 
+class _Room:
+    """Hold the room of one request's body."""
+
+    def __init__(self, memory: BodyMemory) -> None:
+        self._memory = memory
+        self._room: BodyRoom | None = None
+
+    async def wait(self, size: int, left: Seconds) -> None:
+        """Wait for room before the body is read; raise RequestError without any."""
+        if size <= SMALL_BODY_BYTES:
+            return
+        has_room = asyncio.Event()
+        self._room = self._memory.reserve(size, has_room.set)
+        try:
+            async with asyncio.timeout(left * MAX_ROOM_WAIT):
+                await has_room.wait()
+        except TimeoutError:
+            raise _not_ready_error(
+                "This host has no memory left for the body.", code=NO_ROOM
+            ) from None
+
+    def release(self) -> None:
+        """Return the room."""
+        if self._room is not None:
+            self._room.release()
+
+
 class Responder:
     """Write one response to a caller."""
 
@@ -439,15 +500,23 @@
     return tuple(lengths)
 
 
-def _not_ready_error(problem: str) -> RequestError:
-    return RequestError(
-        problem, remedy="Send it again shortly.", status=503, code="not_ready"
-    )
+def _body_size(fields: dict[str, str], most: int) -> int:
+    """Return the size that a body is announced to have, or may have at most."""
+    if "transfer-encoding" in fields:
+        return most
+    length = fields.get("content-length", "0")
+    return min(int(length), most) if length.isdecimal() else most
+
+
+def _not_ready_error(problem: str, *, code: str = "not_ready") -> RequestError:
+    return RequestError(problem, remedy="Send it again shortly.", status=503, code=code)
 
 
 def _retry_after(exc: RequestError, *, stopping: bool) -> Seconds | None:
     if exc.status != 503:
         return None
+    if exc.code == NO_ROOM:
+        return NO_ROOM_RETRY
     return OTHER_HOST_RETRY if stopping else NOT_READY_RETRY
 
 
--- a/src/amaranthferry/gateway/telemetry.py
+++ b/src/amaranthferry/gateway/telemetry.py
@@ -225,6 +225,12 @@
             (),
             {(): float(app.answers.held)},
         ),
+        (
+            "body_bytes",
+            "Room that is kept for the bodies of requests.",
+            (),
+            {(): float(app.bodies.held)},
+        ),
         (
             "kept_changes",
             "Changes of a kind that are retained for other hosts.",
--- a/src/amaranthferry/http_connection.py
+++ b/src/amaranthferry/http_connection.py
@@ -277,7 +277,9 @@
         if body or method not in ("GET", "HEAD", "DELETE"):
             lines.append(f"content-length: {len(body)}")
         head = "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n"
-        self._transport.write(head + body)
+        self._transport.write(head)
+        if body:
+            self._transport.write(body)
 
     async def start(self) -> AnswerStart:
         """Return the answer's status and headers; raise BrokenAnswer."""
--- a/src/amaranthferry/memory.py
+++ b/src/amaranthferry/memory.py
@@ -1,9 +1,11 @@
 """Divide the memory of a host among what it holds for others.
 
-This answers servers whose answers are large, many at the same time, or never end: a
-host breaks off an answer rather than end with all its requests.
+This answers servers whose answers are large, many at the same time, or never end, and
+callers that send many long bodies at once: a host breaks off an answer, or has a body
+wait unread, rather than end with all its requests.
 """
 
+from collections import deque
 from collections.abc import Callable
 from typing import Self
 
@@ -14,7 +16,13 @@
 #: Limit that is assumed where the settings name none.
 DEFAULT_LIMIT = 256 * MEBIBYTE
 #: Part of the limit for the answers that are read as a whole.
-ANSWER_SHARE = 0.25
+ANSWER_SHARE = 0.2
+#: Part of the limit for the bodies of requests.
+BODY_SHARE = 0.2
+#: What a body takes for each of its bytes: it is held once more while it is sent.
+BODY_COST = 2
+#: Size up to which a body needs no room of its own.
+SMALL_BODY_BYTES = 64 * KIBIBYTE
 #: Part of the limit for the changes of one kind that are retained for other hosts.
 KEPT_CHANGE_SHARE = 0.01
 #: Size up to which an answer never gives way. The servers' slots bound the number of
@@ -37,6 +45,11 @@
         """Return the bytes of all answers that are read as a whole."""
         return int(self.limit * ANSWER_SHARE)
 
+    @property
+    def bodies(self) -> int:
+        """Return the bytes of all requests' bodies."""
+        return int(self.limit * BODY_SHARE)
+
     @property
     def kept_changes(self) -> int:
         """Return the bytes of the changes of one kind that are retained."""
@@ -106,3 +119,59 @@
         self._arriving.discard(answer)
         self.held -= answer.size
         answer.size = 0
+
+
+class BodyMemory:
+    """Decide which request's body may be read, in the order in which they arrive.
+
+    A body counts with what it is announced to have, or may have at most, from before it
+    is read until its request has ended. One that is larger than all the room is read
+    alone.
+    """
+
+    def __init__(self, limit: int) -> None:
+        self.limit = limit
+        self.held = 0
+        self._waiting: deque[BodyRoom] = deque()
+
+    def reserve(self, size: int, on_room: Callable[[], None]) -> "BodyRoom":
+        """Ask for the room of a body; `on_room` is called once there is some."""
+        room = BodyRoom(self, size * BODY_COST, on_room)
+        self._waiting.append(room)
+        self._grant()
+        return room
+
+    def release(self, room: "BodyRoom") -> None:
+        """Return the room of a body, or stop waiting for it."""
+        if room.granted:
+            self.held -= room.size
+        elif room in self._waiting:
+            self._waiting.remove(room)
+        room.size = 0
+        self._grant()
+
+    def _grant(self) -> None:
+        while self._waiting:
+            room = self._waiting[0]
+            if self.held and self.held + room.size > self.limit:
+                return
+            self._waiting.popleft()
+            self.held += room.size
+            room.granted = True
+            room.on_room()
+
+
+class BodyRoom:
+    """Represent the room of one request's body, or the wait for it."""
+
+    def __init__(
+        self, memory: BodyMemory, size: int, on_room: Callable[[], None]
+    ) -> None:
+        self.size = size
+        self.granted = False
+        self.on_room = on_room
+        self._memory = memory
+
+    def release(self) -> None:
+        """Return the room."""
+        self._memory.release(self)
