Enforce the limits on the size and the time of a request's head

A caller that sends headers without end fills the memory of its host, one that sends them slowly keeps a connection for as long as it likes.

Cause: `maxHeaderBytes` and `headerTimeoutMs` of the configuration were read and not used.

Change: the listener answers 431 or 408 and closes. The time runs from the first byte of a head, so an idle connection isn't concerned. A refusal is never written into another answer on the connection.

Why it works: bytes of a head are counted as they arrive, before the parser has its end.

--- a/src/amaranthferry/gateway/application.py
+++ b/src/amaranthferry/gateway/application.py
@@ -503,7 +503,9 @@
     def _apply_config(self) -> None:
         catalog = self.config.catalog
         assert catalog is not None
-        self._frontend.set_idle_timeout(catalog.limits.idle_timeout)
+        limits = catalog.limits
+        self._frontend.set_idle_timeout(limits.idle_timeout)
+        self._frontend.set_head_limits(limits.max_header, limits.header_timeout)
         self._apply_deployment()
 
     def _apply_deployment(self) -> None:
--- a/src/amaranthferry/gateway/listener.py
+++ b/src/amaranthferry/gateway/listener.py
@@ -6,11 +6,13 @@
 from typing import Any, Protocol
 
 import httptools
+import msgspec
 import structlog
 import uvicorn
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol
 from uvicorn.server import ServerState
 
+from ..config import KIBIBYTE
 from ..types import Seconds
 from .log_events import LogEvent
 
@@ -23,6 +25,9 @@
 #: Key of a request's `FlowState` in its ASGI state.
 FLOW_STATE = "flow"
 UPGRADE = b"upgrade"
+MALFORMED = 400
+HEAD_TOO_LATE = 408
+HEAD_TOO_LARGE = 431
 _log = structlog.get_logger(__name__)
 Application = Callable[[Any, Any, Any], Awaitable[None]]
 
@@ -33,6 +38,17 @@
     write_paused: bool
 
 
+class HeadTooLarge(Exception):  # noqa: N818
+    """Report a request whose head is over the limit; internal."""
+
+
+class HeadLimits(msgspec.Struct):
+    """Define how large a request's head may be, in bytes, and how long it may take."""
+
+    size: int = 64 * KIBIBYTE
+    time: Seconds = 10.0
+
+
 class _Protocol(HttpToolsProtocol):
     """Read each request as its caller has framed it, whatever else it offers.
 
@@ -40,12 +56,37 @@
     would begin. None is taken up here, so the request is parsed again without the offer.
     """
 
+    def __init__(
+        self, *, limits: HeadLimits, config: uvicorn.Config, server_state: ServerState
+    ) -> None:
+        super().__init__(config=config, server_state=server_state, app_state={})
+        self._limits = limits
+        #: Bytes of the head that is arriving, or None outside of heads.
+        self._head_bytes: int | None = None
+        self._head_timer: asyncio.TimerHandle | None = None
+
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         super().connection_made(transport)
         self.app_state[FLOW_STATE] = self.flow
 
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._end_head()
+        super().connection_lost(exc)
+
     def data_received(self, data: bytes) -> None:
         self._unset_keepalive_if_required()
+        self._feed(data)
+        if self._head_bytes is None or self.transport.is_closing():
+            return
+        self._head_bytes += len(data)
+        if self._head_bytes > self._limits.size:
+            self._refuse(HEAD_TOO_LARGE, "The head is too large.")
+        elif self._head_timer is None:
+            self._head_timer = self.loop.call_later(
+                self._limits.time, self._refuse, HEAD_TOO_LATE, "The head is too late."
+            )
+
+    def _feed(self, data: bytes) -> None:
         while data:
             try:
                 self.parser.feed_data(data)
@@ -54,8 +95,13 @@
                 if self.transport.is_closing():
                     return
                 self.parser = httptools.HttpRequestParser(self)
+            except httptools.HttpParserCallbackError as exc:
+                if not isinstance(exc.__context__, HeadTooLarge):
+                    raise
+                self._refuse(HEAD_TOO_LARGE, "The head is too large.")
+                return
             except httptools.HttpParserError as exc:
-                self._refuse(f"Invalid HTTP request received: {exc}.")
+                self._refuse(MALFORMED, f"Invalid HTTP request received: {exc}.")
                 return
             else:
                 return
@@ -64,7 +110,7 @@
         """Return the head of the request that was parsed last without its offer."""
         method = self.parser.get_method()
         if method == b"CONNECT":
-            self._refuse("CONNECT is not supported.")
+            self._refuse(MALFORMED, "CONNECT is not supported.")
             return b""
         lines = [b"%b %b HTTP/%b" % (method, self.url, self._http_version)]
         lines += [
@@ -76,12 +122,33 @@
     def _http_version(self) -> bytes:
         return self.parser.get_http_version().encode("ascii")
 
-    def _refuse(self, problem: str) -> None:
-        """Answer what is no request with 400, and close the connection."""
-        _log.info(LogEvent.REQUEST_MALFORMED, problem=problem)
-        self.send_400_response("Invalid HTTP request received.")
+    def _refuse(self, status: int, problem: str) -> None:
+        """Answer what is no request, unless another answer is written, and close."""
+        _log.info(LogEvent.REQUEST_MALFORMED, status=status, problem=problem)
+        self._end_head()
+        if self.cycle is not None and not self.cycle.response_complete:
+            self.cycle.keep_alive = False
+            self.flow.pause_reading()
+            return
+        head = b"%bcontent-length: 0\r\nconnection: close\r\n\r\n"
+        self.transport.write(head % STATUS_LINE[status])
+        self.transport.close()
+
+    def _end_head(self) -> None:
+        self._head_bytes = None
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+    def on_message_begin(self) -> None:
+        super().on_message_begin()
+        self._head_bytes = 0
 
     def on_headers_complete(self) -> None:
+        self._end_head()
+        size = len(self.url) + sum(len(k) + len(v) for k, v in self.headers)
+        if size > self._limits.size:
+            raise HeadTooLarge
         if not self.parser.should_upgrade():
             super().on_headers_complete()
 
@@ -113,12 +180,17 @@
             date_header=False,
         )
         self._state = ServerState()
+        self._limits = HeadLimits()
         self._server: asyncio.Server | None = None
 
     def set_idle_timeout(self, idle: Seconds) -> None:
         """Set the idle timeout; it applies to new connections."""
         self._config.timeout_keep_alive = max(1, int(idle))
 
+    def set_head_limits(self, size: int, time: Seconds) -> None:
+        """Set what a request's head may have and take."""
+        self._limits.size, self._limits.time = size, time
+
     async def start(self) -> None:
         """Bind the address and accept connections."""
         self._config.load()
@@ -129,7 +201,9 @@
         )
 
     def _protocol(self) -> HttpToolsProtocol:
-        return _Protocol(config=self._config, server_state=self._state, app_state={})
+        return _Protocol(
+            limits=self._limits, config=self._config, server_state=self._state
+        )
 
     def close_idle(self) -> None:
         """Close idle connections now and the others after their current request.
--- a/src/amaranthferry/gateway/log_events.py
+++ b/src/amaranthferry/gateway/log_events.py
@@ -86,7 +86,7 @@
 
     # Decisions about requests.
     REQUEST_HELD = "request.held"  # request_id, kind, part, held_for, ends, trials
-    REQUEST_MALFORMED = "request.malformed"  # problem
+    REQUEST_MALFORMED = "request.malformed"  # status, problem
     # attempt, code, status, version, belief_age, revision, source, store_lost: the
     # configuration it was judged by, and the host that confirmed it ("" for the store)
     REQUEST_REFUSED = "request.refused"
--- a/tests/gateway/test_request_framing.py
+++ b/tests/gateway/test_request_framing.py
@@ -7,7 +7,7 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from .fleet import HOST, KEY, fleet
+from .fleet import HOST, KEY, config, fleet
 
 OFFER = (
     b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AAMAAA\r\n"
@@ -49,7 +49,8 @@
         writer.write(data[begin:end])
         begin = end
         await asyncio.sleep(0.002)
-    with contextlib.suppress(TimeoutError, asyncio.IncompleteReadError):
+    ends = (TimeoutError, asyncio.IncompleteReadError, ConnectionError)
+    with contextlib.suppress(*ends):
         async with asyncio.timeout(3.0):
             while len(statuses) < answers:
                 statuses.append(await read_status(reader))
@@ -152,3 +153,70 @@
             asyncio.run_coroutine_threadsafe(play(requests, parts), loop).result(20)
 
         await asyncio.to_thread(fuzz)
+
+
+MAX_HEADER = 4_096
+
+
+@contextlib.asynccontextmanager
+async def limited_fleet():
+    spec = config(maxHeaderBytes=MAX_HEADER, headerTimeoutMs=500)
+    async with fleet(engines=0, spec=spec) as (system, _):
+        async with asyncio.timeout(5):
+            while not system.hosts[0].is_ready:
+                await asyncio.sleep(0.01)
+        yield system
+
+
+@pytest.mark.parametrize("size", [MAX_HEADER // 2, 2 * MAX_HEADER, 300_000])
+@pytest.mark.parametrize("lines", [1, 20])
+async def test_head_over_its_limit_is_refused(size, lines):
+    async with limited_fleet() as system:
+        fields = [
+            b"X-More-%d: %b\r\n" % (number, b"x" * (size // lines))
+            for number in range(lines)
+        ]
+        data = head(b"GET", b"/look/x", "one", *fields)
+        statuses = await exchange(system, data, 1)
+        if size < MAX_HEADER:
+            assert statuses == [200]
+        else:
+            # A caller that is still sending may find the connection reset.
+            assert statuses == [431] or (not statuses and size > 100_000)
+        assert len(ran(system)) == (size < MAX_HEADER)
+
+
+@pytest.mark.parametrize("fill", [b"X-More: 1\r\n", b"X-More: " + b"x" * 2_000, b"x"])
+async def test_head_without_end_is_given_up(fill):
+    async with limited_fleet() as system:
+        ip, _, port = system.urls[0].removeprefix("http://").partition(":")
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        writer.write(b"GET /look/x HTTP/1.1\r\nX-A: ")
+        sent = 0
+        with contextlib.suppress(ConnectionError):
+            while sent < 50_000_000:
+                writer.write(fill * 100)
+                sent += 100 * len(fill)
+                await writer.drain()
+                await asyncio.sleep(0)
+        assert sent < 20_000_000
+        writer.close()
+
+
+async def test_head_that_arrives_slowly_is_given_up_and_later_ones_are_not():
+    async with limited_fleet() as system:
+        ip, _, port = system.urls[0].removeprefix("http://").partition(":")
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        whole = head(b"GET", b"/look/x", "one")
+        for number in range(2):
+            # The time runs from the first byte of a head, not while the caller is idle.
+            await asyncio.sleep(0.7)
+            writer.write(head(b"GET", b"/look/x", f"kept-{number}"))
+            assert await read_status(reader) == 200
+        writer.write(whole[:20])
+        began = asyncio.get_running_loop().time()
+        async with asyncio.timeout(3.0):
+            answer = await reader.read()
+        assert answer.startswith(b"HTTP/1.1 408 ")
+        assert 0.4 < asyncio.get_running_loop().time() - began < 1.0
+        writer.close()
