Answer a malformed target with 400 again, and release late answers

What callers saw: since the limit on heads, a request whose target can't be parsed (`http://[::1/x`) got no answer: its error was taken for one of the listener itself. CONNECT behind a request that runs left what follows it to a new parser. An answer that is complete only after its caller has left would have stayed in the count of held bytes.

Change: any other error of the parser's callbacks is answered 400, as before; nothing is read after CONNECT; an exchange that is over releases what comes later.

Evidence: test_request_with_an_odd_target_is_answered_and_runs_nothing_else failed before (no answer) and passes; so does the test of a late answer, whose method is new.

--- a/src/amaranthferry/gateway/dispatching.py
+++ b/src/amaranthferry/gateway/dispatching.py
@@ -407,7 +407,7 @@
             held.release()
             raise
         held.complete()
-        self._exchange.held_answers.append(held)
+        self._exchange.hold_answer(held)
         return body
 
     def _drop_answer(self, conn: HttpConnection) -> None:
--- a/src/amaranthferry/gateway/exchange.py
+++ b/src/amaranthferry/gateway/exchange.py
@@ -69,8 +69,9 @@
         self.retry_after: Seconds | None = None
         self.task: asyncio.Task[None] | None = None
         self.timer: asyncio.TimerHandle | None = None
-        #: What the answers of this call that have been read as a whole hold.
-        self.held_answers: list[HeldAnswer] = []
+        self._held_answers: list[HeldAnswer] = []
+        #: Whether the caller has its answer, or none is owed any more.
+        self._is_over = False
 
     def begin(self, start: AnswerStart) -> None:
         """Relay a stream's status and headers; later dispatches do not change them."""
@@ -131,11 +132,19 @@
     def _end(self) -> None:
         self._chunks.put_nowait(None)
 
+    def hold_answer(self, held: HeldAnswer) -> None:
+        """Hold an answer that has been read as a whole until the caller has one."""
+        if self._is_over:
+            held.release()
+        else:
+            self._held_answers.append(held)
+
     def release_answers(self) -> None:
         """Let go of the answers; the caller has one of them or won't get any."""
-        for held in self.held_answers:
+        self._is_over = True
+        for held in self._held_answers:
             held.release()
-        self.held_answers.clear()
+        self._held_answers.clear()
 
     async def body(self) -> AsyncIterator[bytes]:
         """Yield a stream's chunks; raise TruncatedAnswer if it ends early."""
--- a/src/amaranthferry/gateway/listener.py
+++ b/src/amaranthferry/gateway/listener.py
@@ -25,6 +25,7 @@
 #: Key of a request's `FlowState` in its ASGI state.
 FLOW_STATE = "flow"
 UPGRADE = b"upgrade"
+CONNECT = b"CONNECT"
 MALFORMED = 400
 HEAD_TOO_LATE = 408
 HEAD_TOO_LARGE = 431
@@ -91,37 +92,29 @@
             try:
                 self.parser.feed_data(data)
             except httptools.HttpParserUpgrade as exc:
-                data = self._without_offer() + data[exc.args[0] :]
-                if self.transport.is_closing():
+                if self.parser.get_method() == CONNECT:
+                    self._refuse(MALFORMED, "CONNECT is not supported.")
                     return
+                data = self._without_offer() + data[exc.args[0] :]
                 self.parser = httptools.HttpRequestParser(self)
-            except httptools.HttpParserCallbackError as exc:
-                if not isinstance(exc.__context__, HeadTooLarge):
-                    raise
-                self._refuse(HEAD_TOO_LARGE, "The head is too large.")
-                return
             except httptools.HttpParserError as exc:
-                self._refuse(MALFORMED, f"Invalid HTTP request received: {exc}.")
+                if isinstance(exc.__context__, HeadTooLarge):
+                    self._refuse(HEAD_TOO_LARGE, "The head is too large.")
+                else:
+                    self._refuse(MALFORMED, f"Invalid HTTP request received: {exc}.")
                 return
             else:
                 return
 
     def _without_offer(self) -> bytes:
         """Return the head of the request that was parsed last without its offer."""
-        method = self.parser.get_method()
-        if method == b"CONNECT":
-            self._refuse(MALFORMED, "CONNECT is not supported.")
-            return b""
-        lines = [b"%b %b HTTP/%b" % (method, self.url, self._http_version)]
+        version = self.parser.get_http_version().encode("ascii")
+        lines = [b"%b %b HTTP/%b" % (self.parser.get_method(), self.url, version)]
         lines += [
             b"%b: %b" % (name, value) for name, value in self.headers if name != UPGRADE
         ]
         return b"\r\n".join(lines) + b"\r\n\r\n"
 
-    @property
-    def _http_version(self) -> bytes:
-        return self.parser.get_http_version().encode("ascii")
-
     def _refuse(self, status: int, problem: str) -> None:
         """Answer what is no request, unless another answer is written, and close."""
         _log.info(LogEvent.REQUEST_MALFORMED, status=status, problem=problem)
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -9,6 +9,7 @@
     RoutedExchange,
     TruncatedAnswer,
 )
+from amaranthferry.memory import AnswerMemory
 
 from .fleet import fleet
 
@@ -113,3 +114,12 @@
         attempt, status, _, body = await caller.send_prompt(deadline=3.0)
         assert (status, body.count(b"\n\n")) == (200, EVENTS)
         assert len(running.servers_that_ran(attempt)) == 1
+
+
+async def test_answer_that_comes_after_its_caller_has_left_holds_no_memory():
+    memory = AnswerMemory(1_000)
+    exchange, held = RoutedExchange(call=None), memory.hold(lambda: None)
+    held.grow(100)
+    exchange.release_answers()
+    exchange.hold_answer(held)
+    assert memory.held == 0
--- a/tests/gateway/test_request_framing.py
+++ b/tests/gateway/test_request_framing.py
@@ -220,3 +220,22 @@
         assert answer.startswith(b"HTTP/1.1 408 ")
         assert 0.4 < asyncio.get_running_loop().time() - began < 1.0
         writer.close()
+
+
+@pytest.mark.parametrize("target", [b"http://[::1/x", b"/look/%00 x", b"look"])
+async def test_request_with_an_odd_target_is_answered_and_runs_nothing_else(target):
+    async with fleet(engines=0) as (system, _):
+        data = head(b"GET", target, "odd")
+        (status,) = await exchange(system, data, 1)
+        assert status in (400, 404)
+        assert ran(system) == []
+
+
+async def test_connect_behind_a_running_request_cuts_no_answer():
+    async with fleet(engines=0) as (system, _):
+        for server in system.servers.values():
+            server.processing_time = 0.2
+        data = with_length(b"POST", b"/pay/x", "first", b"1")
+        data += head(b"CONNECT", b"desk.example:80", "second") + HIDDEN
+        assert await exchange(system, data, 2) == [200]
+        assert ran(system) == [("first", "POST", "/pay/x", b"1")]
