Watch the memory of hosts in the soak, and send them answers without end

Change: a new fault, failures whose bodies go on in chunks of four bytes until the caller closes, and a check that no process takes more than half of what a calm one (27 MB) leaves free of its limit (136 MB).

--- a/src/amaranthferry/soak/checks.py
+++ b/src/amaranthferry/soak/checks.py
@@ -9,6 +9,7 @@
 from ..limit_check import WINDOW, LimitedServer
 from ..standins.deployment import (
     APPLY_BOUND,
+    MEMORY_LIMIT_MB,
     REVOCATION_BOUND,
     CallKind,
     CallRecord,
@@ -33,6 +34,12 @@
 ALL_HOSTS_KILLED = "all hosts killed: hosts"
 #: Events of a complete stream.
 EVENT_COUNT = 3
+MEGABYTE = 1_000_000
+
+
+#: Memory of a calm host, and the bound that lies halfway to the limit.
+CALM_MEMORY = 27 * MEGABYTE
+MEMORY_BOUND = CALM_MEMORY + (MEMORY_LIMIT_MB * MEGABYTE - CALM_MEMORY) // 2
 
 
 class Guarantee(StrEnum):
@@ -51,6 +58,7 @@
     STOP_ABORTS_NOTHING = "a planned stop cuts nothing"
     CHANGE_IN_FORCE = "what has been confirmed is not denied after its bound"
     CONFIG_PERSISTS = "a configuration in force never reverts"
+    MEMORY = "a process stays within half of the memory that a calm one leaves free"
     RECOVERY = "one fleet serves again after the last fault"
 
 
@@ -115,6 +123,8 @@
     faults: list[Span] = []
     #: Configuration versions in force on each process, in order.
     versions: dict[str, list[int]] = {}
+    #: Most memory of each process, in bytes.
+    memory: dict[str, int] = {}
     planned_stops: list[Span] = []
     unrecovered: list[str] = []
     #: Times at which servers ended under a prompt with the harmful part.
@@ -140,6 +150,7 @@
         *_check_confirmed(record),
         *_check_stops(record),
         *_check_versions(record),
+        *_check_memory(record),
         *(Violation(Guarantee.RECOVERY, detail) for detail in record.unrecovered),
     ]
 
@@ -426,3 +437,10 @@
     for process, versions in record.versions.items():
         if versions != sorted(versions):
             yield Violation(Guarantee.CONFIG_PERSISTS, f"{process}: {versions}")
+
+
+def _check_memory(record: SoakRecord) -> Iterator[Violation]:
+    for process, memory in record.memory.items():
+        if memory > MEMORY_BOUND:
+            detail = f"{process} took {memory / MEGABYTE:.0f} MB."
+            yield Violation(Guarantee.MEMORY, detail)
--- a/src/amaranthferry/soak/run.py
+++ b/src/amaranthferry/soak/run.py
@@ -95,6 +95,7 @@
     SoakFault.SERVER_ENDS_STREAMS_EARLY: ServerFault.END_IN_EVENT,
     SoakFault.SERVER_SILENT: ServerFault.NO_ANSWER,
     SoakFault.SERVER_CROSSES_ANSWERS: ServerFault.WRONG_ATTEMPT_ID,
+    SoakFault.SERVER_ENDLESS: ServerFault.ENDLESS_FAILURE,
 }
 
 
@@ -300,6 +301,8 @@
             await asyncio.sleep(SAMPLE_PERIOD)
             for host in self._hosts:
                 incarnation = host.incarnation
+                most = self.record.memory.get(incarnation, 0)
+                self.record.memory[incarnation] = max(most, host.memory())
                 version = int((await host.metrics()).get("config_version", 0))
                 # A host that restarted meanwhile may have answered for the old one.
                 if version and incarnation == host.incarnation:
--- a/src/amaranthferry/soak/schedule.py
+++ b/src/amaranthferry/soak/schedule.py
@@ -42,6 +42,7 @@
     SERVER_CROSSES_ANSWERS = "server sends answers of other requests"
     SERVER_RESETS_STREAMS = "server resets streams"
     SERVER_ENDS_STREAMS_EARLY = "server ends streams inside an event"
+    SERVER_ENDLESS = "server sends failures without end"
     SERVER_UNFRAMED = "server sends answers without a length"
     SERVER_SAYS_LEAVING = "server says in its answers that it leaves"
     SERVICE_HOLDS_OFF = "servers of a service want nothing for a time"
--- a/src/amaranthferry/standins/deployment.py
+++ b/src/amaranthferry/standins/deployment.py
@@ -17,6 +17,7 @@
 APPLY_BOUND: Seconds = 2.0
 GRACE_TIME: Seconds = 8.0
 HEARTBEAT: Seconds = 1.0
+MEMORY_LIMIT_MB = 136
 #: Prompt parts: engines end when they begin an answer on the harmful one.
 HARMFUL_PART = "bad"
 #: Last part of the path of the request that ends servers.
@@ -147,7 +148,7 @@
     revoke: Seconds = REVOCATION_BOUND,
     grace: Seconds = GRACE_TIME,
     processor: float = 1.0,
-    memory_mb: int = 136,
+    memory_mb: int = MEMORY_LIMIT_MB,
 ) -> str:
     """Return the settings file of a host with four addresses on one IP address."""
     ip = addresses[0].partition(":")[0]
--- a/src/amaranthferry/standins/routed.py
+++ b/src/amaranthferry/standins/routed.py
@@ -15,6 +15,10 @@
 HANG_DURATION: Seconds = 3_600.0
 #: Interval between the bytes of a stalled stream.
 STALL_INTERVAL: Seconds = 0.2
+#: Chunks that an answer without end brings at once, and the pause between two bursts.
+ENDLESS_CHUNK = b"nan "
+ENDLESS_BURST = 200
+ENDLESS_INTERVAL: Seconds = 0.002
 FOREIGN_PAGE = b"<html>\n<body>no such server</body>\n</html>\n\n"
 
 
@@ -39,6 +43,8 @@
     EMPTY_STREAM = "empty"
     #: The stream's body is the page of a proxy.
     FOREIGN_STREAM = "foreign"
+    #: A failure whose body goes on in short chunks until the caller closes.
+    ENDLESS_FAILURE = "endless"
 
 
 _CUT_FAULTS = {
@@ -161,6 +167,8 @@
         headers = {"X-Amaranthferry-Attempt-Id": attempt_id}
         if fault is not ServerFault.UNSIGNED:
             headers["X-Amaranthferry-Server-Signature"] = f"signed-{self.name}"
+        if fault is ServerFault.ENDLESS_FAILURE:
+            return StreamingResponse(_endless(), status_code=500, headers=headers)
         if fault is ServerFault.BUSY:
             return Response(b"busy", status_code=503, headers=headers)
         if fault is ServerFault.ERROR:
@@ -235,6 +243,13 @@
             await asyncio.sleep(self.event_interval)
 
 
+async def _endless() -> AsyncIterator[bytes]:
+    while True:
+        for _ in range(ENDLESS_BURST):
+            yield ENDLESS_CHUNK
+        await asyncio.sleep(ENDLESS_INTERVAL)
+
+
 def _shared_parts(request: Request) -> list[str]:
     """Return the hashes of a prompt's parts but for the last, its own one."""
     parts = request.headers.get("x-amaranthferry-prefix-hash", "").split(",")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -227,6 +227,12 @@
     assert found(**record) == ([Guarantee.HOLD_OFF] if violated else [])
 
 
+@pytest.mark.parametrize(("memory", "violated"), [(80, False), (83, True)])
+def test_memory_of_a_process(memory, violated):
+    record = {"memory": {"host-0#1": memory * 1_000_000}}
+    assert found(**record) == ([Guarantee.MEMORY] if violated else [])
+
+
 def test_schedule_draws_every_fault_before_one_is_repeated():
     planned = [fault.fault for fault in plan_faults(5, seconds=300)]
     count = len(SoakFault)
