--- a/src/amaranthferry/entry.py
+++ b/src/amaranthferry/entry.py
@@ -45,9 +45,6 @@
 )
 
 DRAIN_RETRY_AFTER: Seconds = 1.0
-#: Registrations after the last request of a shard: one may come too early for a recent
-#: permit, and one may be lost.
-CONFIRMATIONS = 3
 #: Longest wait for a claim in classes that refuse work during a store outage.
 REFUSING_CLAIM_TIMEOUT: Seconds = 2.0
 #: Reasons for which the server of a returned grant should get no other request now.
@@ -145,7 +142,6 @@
         return refuse(state, req, RefusalReason.DEADLINE, 0.0)
     req.shard = _choose_shard(state, req)
     req.requested_at = state.now
-    state.unconfirmed_shards[req.shard] = CONFIRMATIONS
     req.server = None
     req.permit_host = state.permit_host(req.shard)
     message = msgspec.structs.replace(req.permit_request(state.now), zone=state.zone)
--- a/src/amaranthferry/registration.py
+++ b/src/amaranthferry/registration.py
@@ -23,12 +23,8 @@
 
 
 def register_all(state: HostState) -> list[Effect]:
-    """Register every request with its coordinator, to recover from lost messages.
-
-    A host that has none any more says so, too.
-    """
+    """Register every request with its coordinator, to recover from lost messages."""
     shards = {req.shard for req in state.requests.values() if req.shard}
-    shards |= _confirmed_shards(state)
     effects: list[Effect] = []
     for shard in sorted(shards.union(state.fallbacks, state.stand_ins)):
         hosts = (state.coordinator_of(shard), state.permit_host(shard))
@@ -37,14 +33,6 @@
     return effects
 
 
-def _confirmed_shards(state: HostState) -> set[ShardId]:
-    """Return the shards that hear once more what this host holds of them."""
-    left = state.unconfirmed_shards
-    shards = {s for s in left if s in state.shards_of(pool_of(s))}
-    state.unconfirmed_shards = {s: n - 1 for s, n in left.items() if n > 1}
-    return shards
-
-
 def register_requests(
     state: HostState, shard: ShardId, *, host: HostId | None = None
 ) -> list[Effect]:
--- a/src/amaranthferry/state.py
+++ b/src/amaranthferry/state.py
@@ -104,9 +104,6 @@
     last_received: dict[HostId, Seconds] = {}
     server_reports: dict[ServerId, dict[ServerStateSource, ServerState]] = {}
     budgets: dict[PoolId, RetryBudget] = {}
-    #: Shards that this host has asked for permits, and how many registrations still say
-    #: what it holds there: the message that ended a request may have been lost.
-    unconfirmed_shards: dict[ShardId, int] = {}
     #: Number of the period in which this host last registered its requests.
     registration_period: int = 0
     order_drains: dict[ServerId, Seconds] = {}
