Go on with the known configuration until a change that was left out has been read

A reply that names a newer version without bringing it (a large change, which each host reads from the store) would have made a host refuse keyed requests until it had read it, some 0.4 s after each such change.

Cause: the version was required before it was known whether the reply continues the state; it has to be only of hosts in an older era, and for a host that starts.

Evidence: test_reply_without_its_changes_does_not_stop_the_host_until_it_has_read failed before and passes; the other three new cases hold both before and after. tests/replica, test_store_eras.py, test_changes_in_time.py: 175 passed, 4 xpassed.

--- a/src/amaranthferry/replica/store_sync.py
+++ b/src/amaranthferry/replica/store_sync.py
@@ -365,7 +365,7 @@
         return succeeded
 
     async def _request_update(
-        self, source: HostId, *, timeout: Seconds = ANSWER_TIMEOUT
+        self, source: HostId, *, starting: bool = False
     ) -> _Result:
         self._last_number += 1
         number, sent = self._last_number, boot_time()
@@ -376,26 +376,28 @@
             request = StoreUpdateRequest(number, self._state.kind, revision, era)
             if not self._send(source, request):
                 return _Result.SILENT
-            async with asyncio.timeout(timeout):
+            async with asyncio.timeout(VERSION_TIMEOUT if starting else ANSWER_TIMEOUT):
                 update = await fut
         except TimeoutError:
             _log.info(LogEvent.READER_SILENT, kind=self._state.kind, reader=source)
             return _Result.SILENT
         finally:
             del self._pending[number]
-        # A restored store doesn't make the version that is in force an older one.
-        self._state.require_version(update.version)
+        if starting or update.era < self._state.era:
+            # A restored store doesn't make the version that is in force an older one.
+            self._state.require_version(update.version)
         if update.era < self._state.era:
             return _Result.STALE
         # A host that can't read the store learns of no change, however recent its state.
         stale = update.store_lost or update.age > self._budget.update_age
         if not self._apply(update):
             return _Result.STALE if stale else _Result.BEHIND
+        self._state.require_version(update.version)
         self._state.confirm(sent - update.age, source)
         return _Result.STALE if stale else _Result.CURRENT
 
     async def hear_version(self) -> bool:
-        """Ask some hosts for the version in force; return whether one has answered.
+        """Ask for the version in force, as a starting host; return whether one answers.
 
         A store that was restored may hold an older version than they do.
         """
@@ -404,7 +406,7 @@
         count = min(len(others), MAX_ASKED)
         asked = [*sources, *random.sample(others, count)][:MAX_ASKED]
         calls = [
-            asyncio.ensure_future(self._request_update(host, timeout=VERSION_TIMEOUT))
+            asyncio.ensure_future(self._request_update(host, starting=True))
             for host in asked
         ]
         try:
--- a/tests/replica/test_store_sync.py
+++ b/tests/replica/test_store_sync.py
@@ -585,3 +585,47 @@
     await asyncio.sleep(0.3)
     assert network.age(name) is None
     await running
+
+
+async def hear(update_of, *, method):
+    """Let a host with version 1 hear one reply, and return its state."""
+    cache = FakeCache()
+    cache.version = 1
+    state = SyncState(KIND, cache, Freshness(5.0))
+    state.apply_list(listing(5, 2), boot_time())
+
+    def send(host, message):
+        loop = asyncio.get_running_loop()
+        loop.call_soon(sync.receive, host, update_of(message))
+        return True
+
+    sync = StoreSync("host-0", state, None, send, wait=0.05)
+    sync.set_hosts(["host-0", "host-1"])
+    await method(sync)
+    return state
+
+
+def reply(message, *, era=2, changes=None):
+    return StoreUpdate(message.number, KIND, 5, 7, 0.0, changes, era, version=2)
+
+
+def ask(sync):
+    return sync._request_update("host-1")
+
+
+async def test_reply_without_its_changes_does_not_stop_the_host_until_it_has_read():
+    state = await hear(reply, method=ask)
+    assert state.freshness.age(boot_time()) is not None
+
+
+async def test_newer_version_of_a_host_in_an_older_era_stops_the_older_state():
+    state = await hear(lambda message: reply(message, era=1), method=ask)
+    assert state.freshness.age(boot_time()) is None
+
+
+@pytest.mark.parametrize("era", [1, 2])
+async def test_starting_host_does_not_serve_an_older_version_than_it_hears_of(era):
+    state = await hear(
+        lambda message: reply(message, era=era), method=StoreSync.hear_version
+    )
+    assert state.freshness.age(boot_time()) is None
