Judge a denial in the soak by the first revocation of its key

Trace: the key was revoked at 3429.10 (acknowledged), the five were denied from 3429.31 to 3430.64, and the store came back from a copy and was written again at 3430.67. The record kept the later moment as that of the revocation, which is right for the bound after which no such request may run, and wrong for when one may be denied: from the first acknowledgement on.

Change: the record keeps the first moment too, and the check of denials uses it. As strict as before for any key whose revocation wasn't lost.

--- a/src/amaranthferry/soak/checks.py
+++ b/src/amaranthferry/soak/checks.py
@@ -117,6 +117,8 @@
     limits: list[NamedLimit] = []
     #: Times at which the operator's last write that revoked a key was acknowledged.
     revoked: dict[str, Seconds] = {}
+    #: The same for the first such write, from which on the key may be denied.
+    first_revoked: dict[str, Seconds] = {}
     #: Times at which the operator's first write with a key was acknowledged.
     confirmed: dict[str, Seconds] = {}
     leaving: dict[str, Seconds] = {}
@@ -391,7 +393,7 @@
     """
     for call in record.calls:
         confirmed = record.confirmed.get(call.key)
-        revoked = record.revoked.get(call.key)
+        revoked = record.first_revoked.get(call.key)
         if call.status not in DENIALS or call.signature or confirmed is None:
             continue
         if revoked is not None and call.ended >= revoked:
--- a/src/amaranthferry/soak/run.py
+++ b/src/amaranthferry/soak/run.py
@@ -535,7 +535,9 @@
     async def _revoke(self) -> None:
         revoked, self._keys = self._keys, [f"key-{next(self._numbers)}"]
         await self._change_config()
-        self.record.revoked.update(dict.fromkeys(revoked, self._now()))
+        now = self._now()
+        self.record.revoked.update(dict.fromkeys(revoked, now))
+        self.record.first_revoked.update(dict.fromkeys(revoked, now))
 
     async def _change_config(self) -> None:
         self._version += self._rng.randrange(1, 4)
