Name the Upgrade header where it is meant

Cause: the last reading found "offer" and "let go" in the listener and the exchange, which a newcomer has to look up.

Change: docstrings and one private name only; no behaviour.

--- a/src/amaranthferry/gateway/exchange.py
+++ b/src/amaranthferry/gateway/exchange.py
@@ -140,7 +140,7 @@
             self._held_answers.append(held)
 
     def release_answers(self) -> None:
-        """Let go of the answers; the caller has one of them or won't get any."""
+        """Release the answers; the caller has one of them or won't get any."""
         self._is_over = True
         for held in self._held_answers:
             held.release()
--- a/src/amaranthferry/gateway/listener.py
+++ b/src/amaranthferry/gateway/listener.py
@@ -51,10 +51,10 @@
 
 
 class _Protocol(HttpToolsProtocol):
-    """Read each request as its caller has framed it, whatever else it offers.
+    """Read each request as its caller has framed it, without protocol upgrades.
 
     The parser ends a request that offers an upgrade at its head, where another protocol
-    would begin. None is taken up here, so the request is parsed again without the offer.
+    would begin. None is supported here, so it is parsed again without that header.
     """
 
     def __init__(
@@ -95,7 +95,7 @@
                 if self.parser.get_method() == CONNECT:
                     self._refuse(MALFORMED, "CONNECT is not supported.")
                     return
-                data = self._without_offer() + data[exc.args[0] :]
+                data = self._without_upgrade() + data[exc.args[0] :]
                 self.parser = httptools.HttpRequestParser(self)
             except httptools.HttpParserError as exc:
                 if isinstance(exc.__context__, HeadTooLarge):
@@ -106,8 +106,8 @@
             else:
                 return
 
-    def _without_offer(self) -> bytes:
-        """Return the head of the request that was parsed last without its offer."""
+    def _without_upgrade(self) -> bytes:
+        """Return the head of the last parsed request without its Upgrade header."""
         version = self.parser.get_http_version().encode("ascii")
         lines = [b"%b %b HTTP/%b" % (self.parser.get_method(), self.url, version)]
         lines += [
