Let no error of a fake network end a host of the test unseen

Cause: the test sends the update as "peer", which is no host of its network. A host that gets it while it pauses after its first read (a random 0.1 to 0.2 s; the update comes after 0.2 s) asks "peer" as a stand-in next, and the fake link raises KeyError where a real one says that the host is unknown. The host's task ended, and `FakeNetwork.run` passed over it.

Both new cases (the update during the pause, and after it) fail before the change of the link, with that error. The product is not at fault: a host that can't be reached is SILENT and the read follows within 0.5 s.

The link now answers as a real one does, errors that end a host's task fail the test, and the update is sent at both moments. No bound was changed.

--- a/tests/replica/test_store_sync.py
+++ b/tests/replica/test_store_sync.py
@@ -126,7 +126,7 @@
 
     def _link(self, sender):
         def send(host, message):
-            if {sender, host} & self.disconnected:
+            if {sender, host} & self.disconnected or host not in self.syncs:
                 return False
             loop = asyncio.get_running_loop()
             loop.call_soon(self.syncs[host].receive, sender, message)
@@ -147,9 +147,12 @@
     async def run(self, seconds):
         tasks = [asyncio.ensure_future(sync.run()) for sync in self.syncs.values()]
         await asyncio.sleep(seconds)
+        ended = [task for task in tasks if task.done()]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        for task in ended:
+            task.result()
 
 
 def hosts(count):
@@ -511,10 +514,11 @@
     assert store.calls <= 2 * (1 + 1.0 / 0.05)
 
 
-async def test_update_of_another_era_is_not_applied_and_makes_the_host_read():
+@pytest.mark.parametrize("at", [0.05, 0.2], ids=["pausing", "waiting"])
+async def test_update_of_another_era_is_not_applied_and_makes_the_host_read(at):
     network = FakeNetwork(hosts(3))
-    running = asyncio.ensure_future(network.run(1.0))
-    await asyncio.sleep(0.2)
+    running = asyncio.ensure_future(network.run(at + 0.8))
+    await asyncio.sleep(at)
     name = non_readers(network.hosts)[0]
     sync, state = network.syncs[name], network.states[name]
     change = ObjectChange("b", 90, False, {})
