Play the tests of the replica's readers in virtual time

calm-fleet and starved-sync (four tests) each failed once beside heavy load in real time and were not traced.

Cause: their bounds are on what the hosts decide, but a loop that gets no processor for tenths of a second is late in all hosts of the test at once.

What starvation does to real hosts is judged by the soak.

--- a/tests/virtual_loop.py
+++ b/tests/virtual_loop.py
@@ -33,6 +33,13 @@
         return self._time_selector.now
 
 
+class VirtualLoopPolicy(asyncio.DefaultEventLoopPolicy):
+    """Have a module's tests run in virtual time, by its `event_loop_policy` fixture."""
+
+    def new_event_loop(self):
+        return VirtualLoop()
+
+
 def run(main):
     """Run a coroutine to completion in virtual time."""
     with asyncio.Runner(loop_factory=VirtualLoop) as runner:
