--- a/src/amaranthferry/harm/simulation.py
+++ b/src/amaranthferry/harm/simulation.py
@@ -137,8 +137,13 @@
     def __init__(self, case: HarmCase) -> None:
         super().__init__()
         self.case = case
+        #: One generator each, so that another message changes neither load nor ends.
         self.rng = random.Random(case.seed)
-        self._links = PeerLinks(self.rng, loss=case.loss)
+        self._end_rng = random.Random(f"ends {case.seed}")
+        self._server_rng = random.Random(f"servers {case.seed}")
+        self._host_rng = random.Random(f"hosts {case.seed}")
+        link_rng = random.Random(f"links {case.seed}")
+        self._links = PeerLinks(link_rng, loss=case.loss)
         self._numbers = itertools.count(1)
         self.servers: dict[ServerId, _Server] = {}
         self._listed: dict[ServerId, Instance] = {}
@@ -174,7 +179,7 @@
             now=self.now,
             coordinator_timeout=max(0.35, 3 * self.case.delay),
         )
-        self.at(self.now + self.rng.uniform(0, TICK), lambda: self._tick(name))
+        self.at(self.now + self._host_rng.uniform(0, TICK), lambda: self._tick(name))
 
     def _tick(self, name: HostId) -> None:
         self.apply(name, Ticked(now=self.now))
@@ -243,7 +248,7 @@
 
     def _list_servers(self) -> None:
         for name in self.hosts:
-            delay = self.rng.uniform(0.0, MAX_LIST_DELAY)
+            delay = self._host_rng.uniform(0.0, MAX_LIST_DELAY)
             self.at(self.now + delay, lambda name=name: self._list_at(name))  # type: ignore[misc]
 
     def _list_at(self, name: HostId) -> None:
@@ -267,7 +272,7 @@
         if self.is_harmful(request_id):
             self.harmful_arrivals.append(self.now)
         server.running[request_id] = host
-        start = self.now + PREFILL_TIME * self.rng.uniform(0.5, 2.0)
+        start = self.now + PREFILL_TIME * self._server_rng.uniform(0.5, 2.0)
         self.at(start, lambda: self._begin_answer(server, request_id))
 
     def is_harmful(self, request_id: RequestId) -> bool:
@@ -287,7 +292,7 @@
         seen = FirstTokenSeen(now=self.now, request_id=request_id)
         self._report(host, seen)
         answer_time = PLAIN_ANSWER_TIME if self.case.plain else ANSWER_TIME
-        end = self.now + answer_time * self.rng.uniform(0.2, 2.0)
+        end = self.now + answer_time * self._server_rng.uniform(0.2, 2.0)
         self.at(end, lambda: self._finish(server, request_id))
 
     def _finish(self, server: _Server, request_id: RequestId) -> None:
@@ -336,12 +341,12 @@
             self.at(self._until_other_end(), self._end_some_server)
 
     def _until_other_end(self) -> Seconds:
-        return self.now + self.rng.expovariate(self.case.other_ends / 60)
+        return self.now + self._end_rng.expovariate(self.case.other_ends / 60)
 
     def _end_some_server(self) -> None:
         alive = [server for server in self.servers.values() if server.alive]
         if alive:
-            self.end_server(self.rng.choice(alive))
+            self.end_server(self._end_rng.choice(alive))
         self.at(self._until_other_end(), self._end_some_server)
 
     def _send_next(self, hosts: Sequence[HostId]) -> None:
