Log and count permits that are given up since their host doesn't list them

Cause: that a coordinator stops believing in a permit was a decision without a line, so an engineer saw slots taken and returned without a reason.

Change: `permit.unlisted` (request, server, asker, age, whether a first token was seen; 20 lines a second, the rest counted) and the counter permits.unlisted. No decision changes.

--- a/src/amaranthferry/coordinator_reducer.py
+++ b/src/amaranthferry/coordinator_reducer.py
@@ -3,7 +3,13 @@
 from functools import singledispatch
 
 from .coordinator import Coordinator
-from .effects import CountMetric, Effect, ObserveMetric, ReportBackoff
+from .effects import (
+    CountMetric,
+    Effect,
+    ObserveMetric,
+    ReportBackoff,
+    ReportUnlistedPermit,
+)
 from .events import (
     CacheEventSeen,
     Event,
@@ -264,19 +270,42 @@
     if message.waiting:
         coordinator.record_reliance(sender, now)
     coordinator.register(message, sender, now)
-    coordinator.permits.release_unlisted(message, sender, now)
+    unlisted = coordinator.permits.release_unlisted(message, sender, now)
     remove_unlisted(coordinator, message, sender, now)
     for work in message.running:
         record = coordinator.servers.get(work.server)
         if record is not None:
             coordinator.queue.remove(work.request.request_id)
             coordinator.permits.restore(work, sender, record, now)
-    effects = []
+    effects = _report_unlisted(coordinator, unlisted, now)
     for waiting in message.waiting:
         effects += enqueue(coordinator, waiting, sender, now)
     return effects + grant_waiting(coordinator, now)
 
 
+def _report_unlisted(
+    coordinator: Coordinator, permits: list[Permit], now: Seconds
+) -> list[Effect]:
+    """Report and count the permits that were given up as unlisted.
+
+    Each stands for a message about the end of a request that was lost or is late.
+    """
+    effects: list[Effect] = [
+        ReportUnlistedPermit(
+            shard=coordinator.shard,
+            server=permit.server.cfg.name,
+            host=permit.host,
+            request_id=permit.request.request_id,
+            age=now - permit.granted,
+            first_token_seen=permit.first_token_seen,
+        )
+        for permit in permits
+    ]
+    if permits:
+        effects.append(CountMetric(name="permits.unlisted", value=len(permits)))
+    return effects
+
+
 @_receive.register
 def _(
     message: UsageElsewhere, coordinator: Coordinator, sender: HostId, now: Seconds
--- a/src/amaranthferry/effects.py
+++ b/src/amaranthferry/effects.py
@@ -135,6 +135,20 @@
     duration: Seconds
 
 
+class ReportUnlistedPermit(Effect, frozen=True):
+    """Report that a coordinator gave up a permit that its host doesn't list.
+
+    `age` is that of the grant.
+    """
+
+    shard: ShardId
+    server: ServerId
+    host: HostId
+    request_id: RequestId
+    age: Seconds
+    first_token_seen: bool
+
+
 class ReportFallbackStart(Effect, frozen=True):
     """Report that another decider than before decides on this host's permits.
 
--- a/src/amaranthferry/gateway/decisions.py
+++ b/src/amaranthferry/gateway/decisions.py
@@ -15,6 +15,7 @@
     ReportSignal,
     ReportSubject,
     ReportTrial,
+    ReportUnlistedPermit,
 )
 from ..harm.ledger import Hold
 from ..harm.subjects import SubjectState
@@ -29,6 +30,8 @@
 _log = structlog.get_logger(__name__)
 #: Lines a second about servers that a coordinator backs off from.
 MAX_BACKOFF_LINES = 40
+#: Lines a second about permits that their hosts don't list.
+MAX_UNLISTED_LINES = 20
 #: Lines a second about headers that can't be read, and their longest value shown.
 MAX_UNREADABLE_LINES = 1
 MAX_SHOWN_VALUE = 40
@@ -284,6 +287,29 @@
         )
 
 
+class UnlistedPermitLog:
+    """Log permits that their hosts don't list, a bounded number of lines a second."""
+
+    def __init__(self) -> None:
+        self._lines = LineLimit(MAX_UNLISTED_LINES)
+
+    def record(self, effect: ReportUnlistedPermit, now: Seconds) -> None:
+        """Log one permit, or count it with the next line that is written."""
+        skipped = self._lines.take(now)
+        if skipped is None:
+            return
+        _log.info(
+            LogEvent.PERMIT_UNLISTED,
+            request_id=effect.request_id,
+            shard=effect.shard,
+            server=effect.server,
+            asker=effect.host,
+            age=_rounded(effect.age),
+            first_token_seen=effect.first_token_seen,
+            skipped=skipped,
+        )
+
+
 class UnreadableLimitLog:
     """Log what servers send in place of a limit, a bounded number of lines a second."""
 
--- a/src/amaranthferry/gateway/log_events.py
+++ b/src/amaranthferry/gateway/log_events.py
@@ -107,4 +107,6 @@
     PERMIT_GRANTED = "permit.granted"  # request_id, asker, server, waited, queue
     # request_id, shard, coordinator, server, reason, age
     PERMIT_RETURNED = "permit.returned"
+    # request_id, shard, server, asker, age, first_token_seen, skipped
+    PERMIT_UNLISTED = "permit.unlisted"
     PERMIT_REFUSED = "permit.refused"  # request_id, asker, reason, queue, slots, known
--- a/src/amaranthferry/gateway/performer.py
+++ b/src/amaranthferry/gateway/performer.py
@@ -23,6 +23,7 @@
     ReportSignal,
     ReportSubject,
     ReportTrial,
+    ReportUnlistedPermit,
     SendToHost,
     SettleRequest,
 )
@@ -36,6 +37,7 @@
 from . import dispatching
 from .decisions import (
     BackoffLog,
+    UnlistedPermitLog,
     UnreadableLimitLog,
     log_answer,
     log_decision,
@@ -62,6 +64,7 @@
     def __init__(self, app: "Gateway") -> None:
         self.app = app
         self.backoffs = BackoffLog()
+        self.unlisted_permits = UnlistedPermitLog()
         self.unreadable_limits = UnreadableLimitLog()
 
     def perform(self, effect: Effect) -> None:
@@ -149,6 +152,11 @@
     performer.backoffs.record(effect, performer.app.clock())
 
 
+@_perform.register
+def _(effect: ReportUnlistedPermit, performer: Performer) -> None:
+    performer.unlisted_permits.record(effect, performer.app.clock())
+
+
 @_perform.register
 def _(effect: ReportFallbackStart, performer: Performer) -> None:
     log_fallback_start(effect)
--- a/src/amaranthferry/performer.py
+++ b/src/amaranthferry/performer.py
@@ -23,6 +23,7 @@
     ReportSignal,
     ReportSubject,
     ReportTrial,
+    ReportUnlistedPermit,
     SendToHost,
     SettleRequest,
 )
@@ -90,6 +91,17 @@
     _log.info("server backed off", server=effect.server, duration=effect.duration)
 
 
+@_perform.register
+def _(effect: ReportUnlistedPermit, performer: Performer) -> None:
+    _log.info(
+        "unlisted permit",
+        request_id=effect.request_id,
+        server=effect.server,
+        host=effect.host,
+        age=effect.age,
+    )
+
+
 @_perform.register
 def _(effect: ReportFallbackStart, performer: Performer) -> None:
     _log.info(
--- a/src/amaranthferry/permits.py
+++ b/src/amaranthferry/permits.py
@@ -63,18 +63,21 @@
 
     def release_unlisted(
         self, message: Registration, host: HostId, now: Seconds
-    ) -> None:
-        """Release the permits that their host's registration doesn't list.
+    ) -> list[Permit]:
+        """Release and return the permits that their host's registration doesn't list.
 
         A grant may have crossed the registration, so recent permits are kept.
         """
         listed = {work.request.request_id for work in message.running}
         listed.update(request.request_id for request in message.waiting)
+        released = []
         for permit in self:
             if permit.host != host or now - permit.granted < GRANT_GRACE:
                 continue
             if permit.request.request_id not in listed:
                 self.release(permit)
+                released.append(permit)
+        return released
 
     def restore(
         self, work: RunningWork, host: HostId, record: ServerRecord, now: Seconds
--- a/tests/gateway/test_decisions.py
+++ b/tests/gateway/test_decisions.py
@@ -6,6 +6,7 @@
     ReportFallbackEnd,
     ReportFallbackStart,
     ReportReturn,
+    ReportUnlistedPermit,
 )
 from amaranthferry.gateway import decisions
 from amaranthferry.types import FallbackCause, ReturnReason
@@ -31,6 +32,17 @@
     )
 
 
+def unlisted(number=0):
+    return ReportUnlistedPermit(
+        shard=SHARD,
+        server="s-0",
+        host="edge-1",
+        request_id=f"r{number}",
+        age=4.2,
+        first_token_seen=False,
+    )
+
+
 def test_backoffs_are_logged_at_a_bounded_rate_and_the_rest_counted(lines):
     log = decisions.BackoffLog()
     for number in range(10 * decisions.MAX_BACKOFF_LINES):
@@ -43,6 +55,17 @@
     assert lines[-1].kwargs["skipped"] == 9 * decisions.MAX_BACKOFF_LINES
 
 
+def test_unlisted_permits_are_logged_at_a_bounded_rate_and_the_rest_counted(lines):
+    log = decisions.UnlistedPermitLog()
+    for number in range(3 * decisions.MAX_UNLISTED_LINES):
+        log.record(unlisted(number), 7.5)
+    log.record(unlisted(), 8.0)
+    assert len(lines) == decisions.MAX_UNLISTED_LINES + 1
+    assert lines[0].args[0] == "permit.unlisted"
+    assert (lines[0].kwargs["asker"], lines[0].kwargs["age"]) == ("edge-1", 4.2)
+    assert lines[-1].kwargs["skipped"] == 2 * decisions.MAX_UNLISTED_LINES
+
+
 def test_unreadable_limits_are_logged_briefly_and_once_a_second(lines):
     log = decisions.UnreadableLimitLog()
     for now in (7.1, 7.2, 7.9, 8.0):
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -2,7 +2,7 @@
 import pytest
 
 from amaranthferry.config import PoolRules
-from amaranthferry.effects import ReportBackoff
+from amaranthferry.effects import CountMetric, ReportBackoff, ReportUnlistedPermit
 from amaranthferry.events import MembersChanged, SettingsApplied
 from amaranthferry.messages import (
     PermitGrant,
@@ -176,6 +176,16 @@
     assert list(session.granted()) == ["running", "new"]
 
 
+def test_permit_that_its_host_does_not_list_is_reported_and_counted():
+    session = session_with_busy_server()
+    session.now = 10.0
+    effects = session.receive(Registration(SHARD, (), ()))
+    (report,) = [item for item in effects if isinstance(item, ReportUnlistedPermit)]
+    assert (report.request_id, report.host, report.server) == ("running", HOST, "e1")
+    assert (report.age, report.first_token_seen) == (10.0, False)
+    assert CountMetric(name="permits.unlisted", value=1) in effects
+
+
 def test_registration_that_was_sent_before_a_grant_arrived_keeps_its_permit():
     session = session_with_busy_server()
     session.now = 1.9
