Tell a request that waited to its deadline so, with Retry-After

Its log line named caller_gone, though its caller was there.

Cause: the gateway's timer used CallerGone to take a waiting request out of the queue, and three refusals for the deadline in the reducer gave no time at all.

Evidence: test_request_that_waits_to_its_deadline_is_told_so_with_retry_after got 503 before and gets 429 "deadline" with Retry-After.

Why it works: DeadlinePassed is an event of its own with the refusal that the tick gives, and an answer that says "unknown" since an earlier run may have taken effect gets no Retry-After. The property test of the reducer plays the event too.

--- a/src/amaranthferry/entry.py
+++ b/src/amaranthferry/entry.py
@@ -46,6 +46,7 @@
 )
 
 DRAIN_RETRY_AFTER: Seconds = 1.0
+EXPIRED_RETRY_AFTER: Seconds = 1.0
 #: Longest wait for a claim in classes that refuse work during a store outage.
 REFUSING_CLAIM_TIMEOUT: Seconds = 2.0
 #: Reasons for which the server of a returned grant should get no other request now.
@@ -140,7 +141,7 @@
 def request_permit(state: HostState, req: Request) -> list[Effect]:
     """Request a permit from a shard's coordinator, unless the deadline has passed."""
     if req.deadline <= state.now:
-        return refuse(state, req, RefusalReason.DEADLINE, 0.0)
+        return refuse_expired(state, req)
     req.shard = _choose_shard(state, req)
     req.requested_at = state.now
     state.registrations_left[req.shard] = LAST_REGISTRATIONS
@@ -180,7 +181,7 @@
         return _return_grant(state, event.sender, message, reason)
     if req.deadline <= state.now:
         returned = _return_grant(state, event.sender, message, ReturnReason.EXPIRED)
-        return [*returned, *refuse(state, req, RefusalReason.DEADLINE, 0.0)]
+        return [*returned, *refuse_expired(state, req)]
     if req.requested_at < state.resumed_at:
         returned = _return_grant(state, event.sender, message, ReturnReason.SUSPENDED)
         return [*returned, *request_permit(state, req)]
@@ -356,6 +357,10 @@
     ]
     effects: list[Effect] = []
     for req in late:
-        effects += withdraw(state, req)
-        effects += refuse(state, req, RefusalReason.DEADLINE, 0.0)
+        effects += withdraw(state, req) + refuse_expired(state, req)
     return effects
+
+
+def refuse_expired(state: HostState, req: Request) -> list[Effect]:
+    """Refuse a request that has not been executed by its deadline."""
+    return refuse(state, req, RefusalReason.DEADLINE, EXPIRED_RETRY_AFTER)
--- a/src/amaranthferry/events.py
+++ b/src/amaranthferry/events.py
@@ -226,6 +226,12 @@
     request_id: RequestId
 
 
+class DeadlinePassed(Event, frozen=True):
+    """Report that a request's deadline has passed while it wasn't running."""
+
+    request_id: RequestId
+
+
 class DrainStarted(Event, frozen=True):
     """Begin a planned stop of this host; it may still accept requests for a while."""
 
--- a/src/amaranthferry/gateway/performer.py
+++ b/src/amaranthferry/gateway/performer.py
@@ -27,7 +27,13 @@
     SendToHost,
     SettleRequest,
 )
-from ..events import CallerGone, DispatchFailed, DispatchRefused, PeerLost, PeerReceived
+from ..events import (
+    DeadlinePassed,
+    DispatchFailed,
+    DispatchRefused,
+    PeerLost,
+    PeerReceived,
+)
 from ..leaving import incarnation_of
 from ..problems import Problem
 from ..requests import Request
@@ -80,7 +86,7 @@
             return
         exchange.timed_out = True
         if not req.is_running:
-            app.handle(CallerGone(now=app.clock(), request_id=request_id))
+            app.handle(DeadlinePassed(now=app.clock(), request_id=request_id))
             return
         self._end_dispatch(exchange, timed_out=True)
 
@@ -305,7 +311,7 @@
     if exchange is None:
         return
     problem = _problem(effect, exchange)
-    exchange.retry_after = _retry_after(effect)
+    exchange.retry_after = _retry_after(effect, problem)
     _log.info(
         LogEvent.REQUEST_SETTLED,
         request_id=effect.request_id,
@@ -331,7 +337,7 @@
     return Problem.from_refusal(reason, effect.retry_after)
 
 
-def _retry_after(effect: SettleRequest) -> float | None:
-    if effect.outcome is Outcome.NOT_RUN and effect.retry_after > 0:
+def _retry_after(effect: SettleRequest, problem: Problem) -> float | None:
+    if problem.outcome is Outcome.NOT_RUN and effect.retry_after > 0:
         return effect.retry_after
     return None
--- a/src/amaranthferry/running.py
+++ b/src/amaranthferry/running.py
@@ -9,9 +9,10 @@
     SendToHost,
     SettleRequest,
 )
-from .entry import refuse, request_permit, withdraw
+from .entry import refuse, refuse_expired, request_permit, withdraw
 from .events import (
     CallerGone,
+    DeadlinePassed,
     DispatchFailed,
     DispatchFinished,
     DispatchRefused,
@@ -251,6 +252,14 @@
     return effects + refuse(state, req, RefusalReason.CALLER_GONE, 0.0)
 
 
+@apply_event.register
+def _(event: DeadlinePassed, state: HostState) -> list[Effect]:
+    req = state.requests.get(event.request_id)
+    if req is None or req.is_final or req.is_running:
+        return []
+    return withdraw(state, req) + refuse_expired(state, req)
+
+
 @apply_event.register
 def _(event: GraceEnding, state: HostState) -> list[Effect]:
     effects: list[Effect] = []
--- a/tests/gateway/test_application.py
+++ b/tests/gateway/test_application.py
@@ -5,6 +5,7 @@
 import pytest
 import structlog
 
+from amaranthferry import coordinator_reducer
 from amaranthferry.gateway import decisions, dispatching
 from amaranthferry.harm.digest import digest_request
 from amaranthferry.standins.metadata import StoreFault
@@ -194,6 +195,20 @@
         assert len(system.servers_that_ran(attempt)) == 1
 
 
+async def test_request_that_waits_to_its_deadline_is_told_so_with_retry_after(
+    monkeypatch,
+):
+    monkeypatch.setattr(coordinator_reducer, "enqueue", lambda *args: [])
+    async with fleet() as (system, caller):
+        attempt, status, headers, body = await caller.send(
+            "GET", "/look/x", deadline=0.4
+        )
+        assert status == 429
+        assert float(headers["Retry-After"]) > 0
+        assert b"deadline" in body
+        assert not system.servers_that_ran(attempt)
+
+
 async def test_caller_disconnect_ends_its_request():
     async with fleet() as (system, caller):
         for server in system.servers.values():
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -383,6 +383,7 @@
         kind=st.sampled_from(
             [
                 events.CallerGone,
+                events.DeadlinePassed,
                 events.DispatchFailed,
                 events.DispatchFinished,
                 events.FirstTokenSeen,
