Count the last registrations from the end of a host's requests

Found on reading.

Evidence: test_lost_release_of_a_long_run_holds_no_slot_for_longer_than_the_bound (a run of 40 s) fails before and passes.

Why it works: each registration with requests starts the count anew; the permit request still starts it for requests that end between two registrations.

--- a/src/amaranthferry/registration.py
+++ b/src/amaranthferry/registration.py
@@ -1,5 +1,7 @@
 """Register requests and server states with coordinators."""
 
+from collections.abc import Iterable
+
 from . import coordinator_reducer
 from .coordinator import Coordinator
 from .effects import Effect, SendToHost
@@ -9,8 +11,8 @@
 from .state import HostState
 from .types import HostId, RequestState, ShardId
 
-#: Registrations after the latest permit request to a shard: one may come too early to
-#: count for a recent permit, and one may be lost.
+#: Registrations with a shard of which a host has no request any more: one may come too
+#: early to count for a recent permit, and one may be lost.
 LAST_REGISTRATIONS = 3
 
 
@@ -32,7 +34,7 @@
     A host that has none any more says so too, since a release may have been lost.
     """
     shards = {req.shard for req in state.requests.values() if req.shard}
-    shards |= _count_last_registrations(state)
+    shards |= _count_last_registrations(state, shards)
     effects: list[Effect] = []
     for shard in sorted(shards.union(state.fallbacks, state.stand_ins)):
         hosts = (state.coordinator_of(shard), state.permit_host(shard))
@@ -41,10 +43,16 @@
     return effects
 
 
-def _count_last_registrations(state: HostState) -> set[ShardId]:
-    """Count one of the last registrations with each shard; return these shards."""
+def _count_last_registrations(
+    state: HostState, used: Iterable[ShardId]
+) -> set[ShardId]:
+    """Count one of the last registrations with each shard, and return these shards.
+
+    Shards of which this host has a request are counted from the start.
+    """
     left = state.registrations_left
     state.registrations_left = {shard: n - 1 for shard, n in left.items() if n > 1}
+    state.registrations_left |= dict.fromkeys(used, LAST_REGISTRATIONS)
     return {shard for shard in left if shard in state.shards_of(pool_of(shard))}
 
 
--- a/tests/test_lost_releases.py
+++ b/tests/test_lost_releases.py
@@ -2,7 +2,12 @@
 
 import pytest
 
-from amaranthferry.messages import PermitGrant, PermitProgress, PermitRelease
+from amaranthferry.messages import (
+    PermitGrant,
+    PermitProgress,
+    PermitRelease,
+    Registration,
+)
 
 from .reducer_fleet import ReducerFleet, instance
 
@@ -59,6 +64,21 @@
         assert permits(system) == [], asker
 
 
+def test_lost_release_of_a_long_run_holds_no_slot_for_longer_than_the_bound():
+    system = ReducerFleet([instance("e1")], hosts=3)
+    system.service_time = 40.0
+    system.advance(1.0)
+    asker = next(name for name in system.hosts if name != coordinator_of(system))
+    system.send(asker, timeout=60.0)
+    system.advance(39.0)
+    system.lost_messages = (PermitRelease, Registration)
+    system.advance(2.0)
+    assert len(permits(system)) == 1
+    system.lost_messages = ()
+    system.advance(BOUND)
+    assert permits(system) == []
+
+
 @pytest.mark.parametrize("hosts", [3, 16])
 def test_grant_that_is_lost_holds_no_slot_for_longer_than_the_bound(hosts):
     system = ReducerFleet([instance("e1")], hosts=hosts)
