Give each request of the test of cut heads an id of its own

Cause: the test made a caller for each of its four requests, and each caller numbers its attempts from 1, so that four requests at a time had the same attempt id.

With one caller, whose ids differ as those of clients do, they pass; no check is changed, and now each of the requests reaches the server whose answer is cut.

--- a/tests/gateway/test_cut_heads.py
+++ b/tests/gateway/test_cut_heads.py
@@ -77,12 +77,12 @@
 async def test_answer_cut_inside_its_head_is_no_success(name):
     cut = CutServer()
     async with (
-        fleet(engines=0, ledgers=0) as (system, _),
+        fleet(engines=0, ledgers=0) as (system, caller),
         cut.listed(system, "engines", "ledger"),
     ):
         cut.head = HEADS[name]
         for cut.part in PARTS:
-            found = await asyncio.gather(*(send(Caller(system), p) for p in CALLS))
+            found = await asyncio.gather(*(send(caller, p) for p in CALLS))
             assert all(answer is None or answer[0] >= 500 for answer in found)
             assert found[:2] != [None, None]
         assert cut.requests >= len(PARTS) * len(CALLS)
