Compare a denial's line with the revision that was known at that line

Cause: the test compared the revision in the line with the host's revision after the answer and a fetch of the metrics. One counter serves all kinds of the store, and hosts go on reading, so the revision may have moved on by then.

Evidence: with three writes to the store and a second between the denial and the comparison, the test fails each time in the same way (10 == 13).

The logger of the test now keeps the revision at each line, and the two have to be equal: no drift is allowed for.

--- a/tests/gateway/test_telemetry.py
+++ b/tests/gateway/test_telemetry.py
@@ -39,24 +39,38 @@
 
 
 async def test_denial_is_logged_with_the_state_it_rests_on(monkeypatch):
-    log = structlog.testing.CapturingLogger()
-    monkeypatch.setattr(edge, "_log", log)
     async with fleet(hosts=3) as (system, caller):
         async with asyncio.timeout(5):
             while not (followers := _followers(system)):
                 await asyncio.sleep(0.05)
         follower = followers[0]
         state = system.hosts[follower].syncs["config"].state
+        log = _RevisionLogger(state)
+        monkeypatch.setattr(edge, "_log", log)
         await caller.send("GET", "/none/x", host=follower)
         text = await scrape(system, follower)
-    (line,) = [item.kwargs for item in log.calls if item.args == ("request.refused",)]
-    assert line["revision"] == state.revision
+    (call,) = [item for item in log.calls if item.args == ("request.refused",)]
+    line = call.kwargs
+    assert line["revision"] == log.revisions[log.calls.index(call)]
     assert line["source"] in {h.settings.host for h in system.hosts if _reads(h)}
     assert line["store_lost"] is False
     assert 'state_age_seconds{kind="config"}' in text
     assert 'store_lost{kind="servers"} 0.0' in text
 
 
+class _RevisionLogger(structlog.testing.CapturingLogger):
+    """Keep the revision that was known at each line, since reads go on."""
+
+    def __init__(self, state):
+        super().__init__()
+        self.revisions = []
+        self._state = state
+
+    def __getattr__(self, name):
+        self.revisions.append(self._state.revision)
+        return super().__getattr__(name)
+
+
 def _reads(app):
     return app.syncs["config"].is_reader
 
