Treat repeats of refused requests like first attempts

Callers saw: one that was refused and came back as told was taken for late by its prompt and deadline, and went behind all first attempts; under overload it was mostly refused again. Cause: repeats.py kept the objective of the first attempt, because an answer's price counts from there.

--- a/src/amaranthferry/coordinator.py
+++ b/src/amaranthferry/coordinator.py
@@ -36,7 +36,6 @@
 from .placement import Caution, Chooser, PlacementLimits
 from .policy import Policy
 from .quota import MIN_REPORTED_FRACTION, QuotaLedger
-from .repeats import RefusedRequests
 from .servers import ServerRecord
 from .shards import choose_coordinator, pool_of, servers_of, shards_of
 from .slot_shares import SlotShares
@@ -89,7 +88,6 @@
         self.recent_hosts = self.hosts
         self.minimum_shares = MinimumShares(by_service=policy.minimum_by_service)
         self.late_wait = LateWaitEstimate()
-        self.refused = RefusedRequests()
         self._rules = DEFAULT_RULES
         self._notified_at: dict[HostId, Seconds] = {}
         self.harm = HarmLedger(self.coordinator)
--- a/src/amaranthferry/granting.py
+++ b/src/amaranthferry/granting.py
@@ -47,8 +47,6 @@
 def _enqueue_allowed(
     coordinator: Coordinator, request: PermitRequest, host: HostId, now: Seconds
 ) -> list[Effect]:
-    if coordinator.policy.recognize_repeats:
-        request = coordinator.refused.with_first_objective(request, now)
     service = fastest_service_time(
         coordinator.servers.values(), request, coordinator.lengths.expected(request)
     )
@@ -56,7 +54,6 @@
     if request.quota_cost > 0:
         wait = coordinator.quotas.charge(request.workspace, request.quota_cost, now)
         if wait > 0:
-            coordinator.refused.record(waiter)
             return [
                 _refusal_effect(coordinator, request, host, RefusalReason.QUOTA, wait)
             ]
@@ -249,7 +246,6 @@
     retry_after: Seconds,
     now: Seconds,
 ) -> Effect:
-    coordinator.refused.record(waiter)
     coordinator.fair_share.refund(waiter.request, waiter.cost)
     coordinator.quotas.refund(waiter.request.workspace, waiter.request.quota_cost, now)
     return _refusal_effect(
@@ -285,7 +281,6 @@
 def _refuse(
     coordinator: Coordinator, waiter: Waiter, reason: RefusalReason, now: Seconds
 ) -> Effect:
-    coordinator.refused.record(waiter)
     coordinator.fair_share.refund(waiter.request, waiter.cost)
     coordinator.quotas.refund(waiter.request.workspace, waiter.request.quota_cost, now)
     wait = coordinator.predicted_wait(waiter.rank, now)
--- a/src/amaranthferry/policy.py
+++ b/src/amaranthferry/policy.py
@@ -14,5 +14,4 @@
     straggler: bool = True
     adaptive_limit: bool = True
     fairness: bool = True
-    recognize_repeats: bool = True
     minimum_by_service: bool = True
