Wait as long as the caller can still be served

Callers saw: refused after 0.45 of their time, or of the time until they give up on a stream, though a slot became free a moment later; after a failed run 0.45 of what was left, counted anew. Cause: MAX_WAIT_FRACTION, a fraction that followed what a held refusal costs, not the time or the work left.

A permit request now carries the caller's patience: the time until its deadline, or until it gives up on a stream that brings no event, counted from its arrival or from the last event it got. The coordinator keeps it until the fastest server could no longer answer within that time and the deadline, and refuses it then, before its time ends. Requests for which this has passed are refused at once.

--- a/src/amaranthferry/bench_coordinated.py
+++ b/src/amaranthferry/bench_coordinated.py
@@ -31,7 +31,6 @@
     Registration,
 )
 from .policy import Policy
-from .requests import MAX_WAIT_FRACTION
 from .types import (
     HostId,
     PoolId,
@@ -137,7 +136,7 @@
             prefixes=record.hashes,
             bulk=arrival.bulk,
             objective=arrival.objective,
-            max_wait=patience * MAX_WAIT_FRACTION,
+            patience=patience,
         )
         self._send(request, now)
 
--- a/src/amaranthferry/granting.py
+++ b/src/amaranthferry/granting.py
@@ -84,12 +84,15 @@
     request = waiter.request
     prefill = fastest_service_time(coordinator.servers.values(), request, 0) or 0.0
     objective = request.objective if request.objective else request.remaining
+    expires_at = _last_start(coordinator, waiter, now)
+    if expires_at <= now:
+        return [_refuse(coordinator, waiter, RefusalReason.DEADLINE, now)]
     opens_at = _opens_at(coordinator, waiter)
-    if opens_at > now + request.max_wait and not request.excluded:
+    if opens_at > expires_at and not request.excluded:
         return [_refuse_until(coordinator, waiter, opens_at, now)]
     queue.add(
         waiter,
-        expires_at=now + request.max_wait,
+        expires_at=expires_at,
         latest_start=now + objective - prefill,
     )
     if queue.is_late(request.request_id):
@@ -99,6 +102,16 @@
     return []
 
 
+def _last_start(
+    coordinator: Coordinator, waiter: Waiter, now: Seconds
+) -> Seconds:
+    """Return when the fastest server has to begin, for an answer in its caller's time."""
+    request = waiter.request
+    prefill = fastest_service_time(coordinator.servers.values(), request, 0) or 0.0
+    patience = request.patience or request.remaining
+    return min(now + patience - prefill, waiter.deadline - waiter.cost)
+
+
 def _refuse_beyond_limits(
     coordinator: Coordinator, waiter: Waiter, now: Seconds
 ) -> Effect | None:
@@ -117,7 +130,7 @@
     if not rate or waiter.request.excluded:
         return None
     wait = max(0, coordinator.queue.count_before(waiter) + 1 - available) / rate
-    if wait <= waiter.request.max_wait:
+    if wait <= _last_start(coordinator, waiter, now) - now:
         return None
     latest = (waiter.deadline - now) * HONORED_RETRY_FRACTION
     retry_after = coordinator.return_times.book(
--- a/src/amaranthferry/messages.py
+++ b/src/amaranthferry/messages.py
@@ -56,7 +56,8 @@
 class PermitRequest(Message, frozen=True, tag="ask"):
     """Request a permit from a shard's coordinator to dispatch one request.
 
-    Deadlines are sent as remaining seconds, since hosts share no clock.
+    Deadlines are sent as remaining seconds, since hosts share no clock. `patience` is the
+    time that the caller still waits for the next event of its answer.
     """
 
     request_id: RequestId
@@ -77,7 +78,7 @@
     prefix_lengths: tuple[Tokens, ...] = ()
     excluded: tuple[ServerId, ...] = ()
     quota_cost: float = 0.0
-    max_wait: Seconds = 0.0
+    patience: Seconds = 0.0
     digest: RequestDigest = RequestDigest(0)
 
 
--- a/src/amaranthferry/requests.py
+++ b/src/amaranthferry/requests.py
@@ -7,8 +7,6 @@
 from .messages import PermitRequest, RunningWork
 from .types import HostId, RequestState, Seconds, ServerId, ShardId, Tokens
 
-#: Largest fraction of a caller's timeout that a request waits before its refusal.
-MAX_WAIT_FRACTION = 0.45
 FINAL_STATES = frozenset(
     {RequestState.DONE, RequestState.NOT_RUN, RequestState.UNKNOWN}
 )
@@ -65,6 +63,8 @@
     server: ServerId | None = None
     dispatched_at: Seconds = 0.0
     first_token: Seconds = 0.0
+    #: When the caller last got something; its arrival is the time before that.
+    last_event_at: Seconds = 0.0
     output_tokens: Tokens = 0
     connection_retries: int = 0
     tried_servers: tuple[ServerId, ...] = ()
@@ -137,20 +137,17 @@
             prefix_lengths=arrival.prefix_lengths,
             excluded=self.tried_servers,
             quota_cost=0.0 if self.tried_servers else arrival.quota_cost,
-            max_wait=self._remaining_wait(now),
+            patience=self._remaining_patience(now),
             digest=arrival.digest,
         )
 
-    def _remaining_wait(self, now: Seconds) -> Seconds:
-        """Return how long the request may still wait before it is refused.
-
-        A repeated attempt waits anew, since its caller has been waiting for a server.
-        """
-        arrival = self.arrival
-        since = now if self.tried_servers else arrival.now
-        timeout = self.deadline - since
-        timeout = min(timeout, arrival.event_timeout or timeout)
-        return since + timeout * MAX_WAIT_FRACTION - now
+    def _remaining_patience(self, now: Seconds) -> Seconds:
+        """Return how long the caller still waits for the next event."""
+        left = self.deadline - now
+        if not self.arrival.event_timeout:
+            return left
+        since = max(self.arrival.now, self.last_event_at)
+        return min(left, since + self.arrival.event_timeout - now)
 
     def _remaining_objective(self, now: Seconds) -> Seconds:
         """Return the time left until the objective; negative once it has passed."""
--- a/src/amaranthferry/running.py
+++ b/src/amaranthferry/running.py
@@ -72,6 +72,7 @@
         return []
     req.transition_to(RequestState.ANSWERING)
     req.first_token = state.now - req.dispatched_at
+    req.last_event_at = state.now
     req.output_tokens = max(req.output_tokens, 1)
     seen = ObserveMetric(name="first_token.seconds", value=state.now - req.arrival.now)
     return [seen, _progress(state, req)]
@@ -83,6 +84,7 @@
     if req is None or not req.is_running:
         return []
     req.output_tokens = event.output_tokens
+    req.last_event_at = state.now
     return [_progress(state, req)]
 
 
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -25,7 +25,7 @@
     """Refuse one prompt, then let attempts compete for slots; return all decisions."""
     coordinator = make_coordinator(servers=1, slots=2)
     servers = fill(coordinator, 2)
-    first = prompt_request("first", refused_prompt, objective=objective, max_wait=0.5)
+    first = prompt_request("first", refused_prompt, objective=objective, patience=0.5)
     send(coordinator, first, 0.1)
     assert refused(tick(coordinator, 1.0)) == ["first"]
     decisions = []
@@ -53,7 +53,7 @@
 def test_repeat_with_less_time_left_goes_before_a_first_attempt():
     coordinator = make_coordinator(servers=1, slots=1)
     ((name, server),) = fill(coordinator, 1).items()
-    first = prompt_request("first", PROMPT, remaining=10.0, max_wait=2.0)
+    first = prompt_request("first", PROMPT, remaining=10.0, patience=2.0)
     send(coordinator, first, 0.1)
     assert refused(tick(coordinator, 2.2)) == ["first"]
     repeat = prompt_request("again", PROMPT, remaining=6.1)
--- a/tests/test_fallback.py
+++ b/tests/test_fallback.py
@@ -76,7 +76,7 @@
         "prompt_tokens": 100,
         "output_tokens": 10,
         "objective": 1.0,
-        "max_wait": 7.0,
+        "patience": 7.0,
         **fields,
     }
     return PermitRequest(request_id=name, shard=SHARD, **fields)
@@ -279,7 +279,7 @@
             prompt_tokens=100,
             output_tokens=10,
             objective=1.0,
-            max_wait=7.0,
+            patience=7.0,
         )
         for number in range(2 * SLOTS):
             own = msgspec.structs.replace(request, request_id=f"{sender}-{number}")
@@ -518,7 +518,7 @@
     host, _, others = stand_in_of(names(16))
     host.receive(others[0], Registration(SHARD, (), ()))
     for number in range(2 * SLOTS):
-        host.receive(others[0], ask(f"r{number}", objective=10.0, max_wait=9.0))
+        host.receive(others[0], ask(f"r{number}", objective=10.0, patience=9.0))
     host.run(1.0)
     first = host.grants()
     host.run(4.5)
--- a/tests/test_late_wait.py
+++ b/tests/test_late_wait.py
@@ -85,7 +85,7 @@
 
     def _send_request(self, name, rank, now):
         self.requested_at[name] = now
-        request = permit_request(name, rank=rank, objective=0.6, max_wait=3.0, out=30)
+        request = permit_request(name, rank=rank, objective=0.6, patience=3.0, out=30)
         return send(self.coordinator, request, now)
 
     def _handle(self, message, now, service_time):
--- a/tests/test_objectives.py
+++ b/tests/test_objectives.py
@@ -63,7 +63,7 @@
 
 
 def permit_request(
-    name, *, rank=0, objective=1.0, remaining=10.0, max_wait=4.0, prompt=100, out=50
+    name, *, rank=0, objective=1.0, remaining=10.0, patience=4.0, prompt=100, out=50
 ):
     return PermitRequest(
         request_id=name,
@@ -75,7 +75,7 @@
         prompt_tokens=prompt,
         output_tokens=out,
         objective=objective,
-        max_wait=max_wait,
+        patience=patience,
     )
 
 
@@ -160,7 +160,7 @@
 def test_waiter_is_refused_after_max_wait_with_late_retry_after():
     coordinator = make_coordinator()
     fill(coordinator, 4)
-    send(coordinator, permit_request("waits", max_wait=2.0, remaining=10.0), 0.1)
+    send(coordinator, permit_request("waits", patience=2.0, remaining=10.0), 0.1)
     assert refused(tick(coordinator, 2.0)) == []
     (refusal,) = [m for m in tick(coordinator, 2.2) if isinstance(m, PermitRefusal)]
     assert 2.0 < refusal.retry_after <= (10.0 - 2.1) / 3
@@ -206,7 +206,7 @@
     """Random arrivals of several kinds, on engines with a fixed time per request."""
 
     KINDS = (
-        # rank, arrivals per second, objective, max_wait, prompt, seconds of service
+        # rank, arrivals per second, objective, patience, prompt, seconds of service
         (0, 4.0, 1.0, 2.2, 600, 1.2),
         (1, 4.0, 0.5, 2.2, 100, 1.0),
         (2, 6.0, 0.6, 1.3, 100, 0.1),
@@ -225,7 +225,7 @@
     def run(self, until):
         now, step, number = 0.0, 0.02, 0
         while now < until:
-            for rank, rate, objective, max_wait, prompt, seconds in self.KINDS:
+            for rank, rate, objective, patience, prompt, seconds in self.KINDS:
                 if self._random.random() < rate * self._load * step:
                     number += 1
                     name = f"{rank}-{number}"
@@ -235,7 +235,7 @@
                         name,
                         rank=rank,
                         objective=objective,
-                        max_wait=max_wait,
+                        patience=patience,
                         prompt=prompt,
                         out=int(seconds * 100),
                     )
@@ -307,7 +307,7 @@
     for number in range(count):
         send(
             coordinator,
-            permit_request(f"waits-{number}", rank=number % 3, max_wait=30.0),
+            permit_request(f"waits-{number}", rank=number % 3, patience=30.0),
             0.02,
         )
     return coordinator, servers["running-0"]
@@ -323,7 +323,7 @@
             "tick": partial(tick, coordinator, 0.03),
             "release": partial(send, coordinator, release("running-0", server), 0.5),
             "refuse": partial(
-                send, coordinator, permit_request("new", max_wait=0.0), 0.03
+                send, coordinator, permit_request("new", patience=0.0), 0.03
             ),
         }[action]
         opcodes.append(count_opcodes(call))
@@ -343,7 +343,7 @@
     hosts = [f"h{number}" for number in range(count)]
     coordinator = Coordinator.from_config(deployment(), SHARD, now=0.0, hosts=hosts)
     for host in hosts:
-        request = permit_request(f"r-{host}", objective=60.0, max_wait=60.0)
+        request = permit_request(f"r-{host}", objective=60.0, patience=60.0)
         asked = PeerReceived(now=0.0, sender=host, message=request)
         reduce(coordinator, asked)
     assert len(coordinator.queue) >= count - 10
--- a/tests/test_straggler.py
+++ b/tests/test_straggler.py
@@ -99,7 +99,7 @@
             remaining=900.0,
             prompt_tokens=10,
             output_tokens=10,
-            max_wait=900.0,
+            patience=900.0,
         )
         received = PeerReceived(now=3.0, sender="h", message=request)
         effects += reduce(coordinator, received)
