Give each level a set part of the work that it asks for

Callers saw: lower kinds went before urgent ones until they were served 0.35 times as often as all, or up to 0.12 more often than a more urgent kind while they had under 0.08 of the engines' time; a level whose waiters had all missed their objective got nothing. Cause: three constants and a window that follow the limits of a rule on how unevenly kinds may be served.

In their place stands one setting of a pool, minimum_share: the fraction of the work of each tier and class that is served at least, 0.1 by default, so that lower work may be delayed but doesn't starve. Each level has a credit of seconds of work: arrivals add their part, grants take theirs. It needs no window, so shorter or longer times change nothing. The share goes to a level's waiters in their order, late ones too.

--- a/src/amaranthferry/config.py
+++ b/src/amaranthferry/config.py
@@ -77,7 +77,11 @@
 
 
 class Pool(msgspec.Struct, frozen=True):
-    """Represent a group of backend servers that can serve the same requests."""
+    """Represent a group of backend servers that can serve the same requests.
+
+    `minimum_share` is the fraction of the work of each tier and class that is served at
+    least, however much more urgent work there is.
+    """
 
     name: PoolId
     kind: PoolKind = PoolKind.ENGINE
@@ -86,6 +90,7 @@
     bulk_share: float = 0.5
     servers_per_shard: int = 64
     retry_ratio: float = 0.1
+    minimum_share: float = 0.1
 
 
 class PoolRules(msgspec.Struct, frozen=True):
--- a/src/amaranthferry/coordinator.py
+++ b/src/amaranthferry/coordinator.py
@@ -86,7 +86,7 @@
         self.quotas = QuotaLedger(now)
         #: The hosts that share limits, also those that were lost just before.
         self.recent_hosts = self.hosts
-        self.minimum_shares = MinimumShares(by_service=policy.minimum_by_service)
+        self.minimum_shares = MinimumShares(self.pool.minimum_share)
         self.late_wait = LateWaitEstimate()
         self._rules = DEFAULT_RULES
         self._notified_at: dict[HostId, Seconds] = {}
@@ -132,6 +132,7 @@
         self._tiers = 1 + max((t.rank for t in deployment.tiers.values()), default=0)
         pool = pool_of(self.shard)
         self.pool = deployment.pools.get(pool, self.pool)
+        self.minimum_shares.share = self.pool.minimum_share
         for record in self.servers.values():
             record.set_enabled(False)
         self._shard_servers = servers_of(deployment, self.shard)
--- a/src/amaranthferry/granting.py
+++ b/src/amaranthferry/granting.py
@@ -82,6 +82,7 @@
 ) -> list[Effect]:
     """Add a waiter to the objective queue, or refuse it if it would expire there."""
     request = waiter.request
+    coordinator.minimum_shares.record_arrival(waiter.rank[:2], waiter.cost)
     prefill = fastest_service_time(coordinator.servers.values(), request, 0) or 0.0
     objective = request.objective if request.objective else request.remaining
     expires_at = _last_start(coordinator, waiter, now)
@@ -97,7 +98,6 @@
     )
     if queue.is_late(request.request_id):
         return _refuse_late(coordinator, queue, [waiter], now)
-    coordinator.minimum_shares.record_arrival(waiter.rank[:2], now)
     coordinator.late_wait.record_arrival(waiter.rank[:2], waiter.cost, now)
     return []
 
@@ -361,7 +361,7 @@
     limit = MAX_SKIPPED + chooser.free_slots()
     held_off = chooser.held_off_hosts(queue.hosts())
     for waiter in queue.in_grant_order(
-        coordinator.minimum_shares, now, limit=limit, without=held_off
+        coordinator.minimum_shares, limit=limit, without=held_off
     ):
         if skipped >= MAX_SKIPPED or not chooser.has_free_slots:
             break
@@ -372,7 +372,7 @@
             skipped += 1
         else:
             level = waiter.rank[:2]
-            coordinator.minimum_shares.record(level, waiter.cost, now, late=late)
+            coordinator.minimum_shares.record_grant(level, waiter.cost)
             coordinator.late_wait.record_grant(waiter.cost, now, slots)
             effects += _grant(coordinator, waiter, choice, now, caution)
             chooser.record_grant(choice.record)
--- a/src/amaranthferry/objectives.py
+++ b/src/amaranthferry/objectives.py
@@ -82,7 +82,6 @@
     def in_grant_order(
         self,
         shares: MinimumShares,
-        now: Seconds,
         *,
         limit: int,
         without: Collection[HostId] = (),
@@ -91,13 +90,14 @@
 
         The waiters of some hosts may be left out.
 
-        The timely waiters of levels below their minimum share go before all others.
+        The waiters of levels below their minimum share go before all others.
         """
         first: list[_Position] = []
         for level in sorted(self._levels):
-            if shares.is_below_minimum(level, now):
-                timely = self._order.irange((*level, False), (*level, True))
-                allowed = (at for at in timely if self._is_allowed(at, without))
+            if shares.is_below_minimum(level):
+                tier, work_class = level
+                waiting = self._order.irange(level, (tier, work_class + 1))
+                allowed = (at for at in waiting if self._is_allowed(at, without))
                 first += islice(allowed, limit - len(first))
         ahead = set(first)
         others = (
--- a/src/amaranthferry/policy.py
+++ b/src/amaranthferry/policy.py
@@ -14,4 +14,3 @@
     straggler: bool = True
     adaptive_limit: bool = True
     fairness: bool = True
-    minimum_by_service: bool = True
--- a/src/amaranthferry/schema.py
+++ b/src/amaranthferry/schema.py
@@ -67,6 +67,7 @@
         "bulk_share": Key(units.RATIO),
         "servers_per_shard": Key(units.POSITIVE_COUNT),
         "retry_ratio": Key(units.RATIO),
+        "minimum_share": Key(units.RATIO),
     },
 )
 SERVER = SectionSchema(
--- a/tests/test_bench_goals.py
+++ b/tests/test_bench_goals.py
@@ -62,6 +62,7 @@
     "dalmavest-waste",
     "dalmavest-waste-baselines",
     "dalmavest-straggler",
+    "routed-largest",
     "routed-largest-high",
 }
 
