Refuse on a forecast less its measured error, not as an objective passes

Callers saw: refused the moment their objective passed, with most of their time left, though slots became free long before it ended; 24 callers with 5 to 10 s, behind slots taken for 3.2 s, were all refused. Cause: the forecast was asked only as the objective passed, was late by 1.5 times the time left, rested on the rate of grants (under light load: of arrivals), and gave late work 0.02 of the servers at least.

forecast.py takes the place of late_wait.py and demand.py: what waits ahead, the measured speed of slots, what arrives and goes first, and the share of the level. Each forecast is compared with the wait that followed, by level; what is relied on for a refusal is the forecast less two mean deviations. Nothing known, or one sample, is no ground for a refusal; a stall doesn't lengthen later forecasts. Every waiter's forecast is made as it is queued, as it becomes late, and in rotation (16 at a tick). The last moment to begin is the deadline less the expected run time beside other work; before, the idle server's.

--- a/src/amaranthferry/bench_worth.py
+++ b/src/amaranthferry/bench_worth.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from .bench_simulation import Record, RequestStatus
-from .late_wait import Level
+from .forecast import Level
 from .types import ClassId, WorkspaceId
 
 #: What a late answer earns of its worth.
--- a/src/amaranthferry/coordinator.py
+++ b/src/amaranthferry/coordinator.py
@@ -14,12 +14,11 @@
     PoolRules,
     Quota,
 )
-from .demand import Demand
 from .effects import Effect, SendToHost
 from .fairness import FairShare
+from .forecast import Forecast
 from .harm.ledger import HarmLedger, Hold
 from .harm.subjects import Subjects, shared_parts
-from .late_wait import LateWaitEstimate
 from .lengths import LengthEstimate
 from .limits.returns import ReturnTimes
 from .limits.server_rates import ServerRates
@@ -75,7 +74,6 @@
         self.queue: WaitQueue | ObjectiveQueue = WaitQueue()
         self.lengths = LengthEstimate()
         self.fair_share = FairShare()
-        self.demand = Demand()
         self.permits = PermitLedger()
         self.sequence = 0
         self._unregistered = set(self.hosts)
@@ -87,7 +85,7 @@
         #: The hosts that share limits, also those that were lost just before.
         self.recent_hosts = self.hosts
         self.minimum_shares = MinimumShares(self.pool.minimum_share)
-        self.late_wait = LateWaitEstimate()
+        self.forecast = Forecast(0.0)
         self._rules = DEFAULT_RULES
         self._notified_at: dict[HostId, Seconds] = {}
         self.harm = HarmLedger(self.coordinator)
@@ -133,6 +131,8 @@
         pool = pool_of(self.shard)
         self.pool = deployment.pools.get(pool, self.pool)
         self.minimum_shares.share = self.pool.minimum_share
+        if self._rules.by_objective:
+            self.forecast.minimum_share = self.pool.minimum_share
         for record in self.servers.values():
             record.set_enabled(False)
         self._shard_servers = servers_of(deployment, self.shard)
@@ -435,8 +435,9 @@
 
     def predicted_wait(self, rank: Rank, now: Seconds) -> Seconds:
         """Return the expected wait for the work that goes before a rank."""
-        cost_ahead = self.queue.cost_ahead(rank)
-        return self.demand.estimate_wait(rank.tier, cost_ahead, now, self.slots())
+        ahead = self.queue.ahead_of_new(rank)
+        wait = self.forecast.wait(rank[:2], ahead, now, slots=self.slots())
+        return wait.expected
 
     def _waits(self, now: Seconds) -> tuple[Seconds, ...]:
         ranks = (Rank(tier + 1, 0, 0, 0.0, 0) for tier in range(self._tiers))
--- a/src/amaranthferry/coordinator_reducer.py
+++ b/src/amaranthferry/coordinator_reducer.py
@@ -27,7 +27,9 @@
     refuse_expired,
     refuse_held,
     refuse_held_off,
+    refuse_new,
     remove_unlisted,
+    review,
     shed,
 )
 from .harm.ledger import SETTLED_TIME
@@ -69,7 +71,7 @@
     for record in coordinator.servers.values():
         record.hold_offs.expire(now)
     coordinator.permits.prune_closed(now)
-    effects += grant_waiting(coordinator, now)
+    effects += grant_waiting(coordinator, now) + review(coordinator, now)
     effects += coordinator.queue_notices(coordinator.queue.hosts(), now)
     return effects + coordinator.adverts(now)
 
@@ -128,6 +130,7 @@
         effects += shed(coordinator, now)
     else:
         effects += grant_waiting(coordinator, now)
+    effects += refuse_new(coordinator, (message,), now)
     return effects + coordinator.queue_notices((sender,), now)
 
 
@@ -251,10 +254,7 @@
     if not message.dispatched or message.failed:
         return
     record = permit.server
-    busy = len(coordinator.queue) > 0
-    coordinator.demand.record_completion(
-        permit.cost, now, busy=busy, slots=coordinator.slots()
-    )
+    coordinator.forecast.record_completion(permit.cost, message.elapsed, now)
     if message.first_token > 0:
         record.record_first_token(permit, message.first_token, now)
     _record_progress(coordinator, permit, message)
@@ -280,7 +280,8 @@
     effects = _report_unlisted(coordinator, unlisted, now)
     for waiting in message.waiting:
         effects += enqueue(coordinator, waiting, sender, now)
-    return effects + grant_waiting(coordinator, now)
+    effects += grant_waiting(coordinator, now)
+    return effects + refuse_new(coordinator, message.waiting, now)
 
 
 def _report_unlisted(
--- a/src/amaranthferry/granting.py
+++ b/src/amaranthferry/granting.py
@@ -1,9 +1,10 @@
 """Queue a shard's permit requests, and grant or refuse them."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from .coordinator import Coordinator
 from .effects import Effect, ReportHold, ReportTrial, SendToHost
+from .forecast import Wait
 from .harm.ledger import Hold
 from .harm.subjects import HOLD_REASONS
 from .messages import PermitGrant, PermitRefusal, PermitRequest, Registration
@@ -20,8 +21,8 @@
 REGISTRATION_GRACE: Seconds = 1.0
 #: Largest retry-after that a caller honors, as a fraction of its time left.
 HONORED_RETRY_FRACTION = 0.32
-#: Largest expected wait of a late request, as a multiple of the time until it expires.
-MAX_WAIT_RATIO = 1.5
+#: Waiters whose forecast is renewed at a tick, so that its cost is bounded.
+MAX_REVIEWED = 16
 MAX_RETRY_AFTER: Seconds = 300.0
 
 
@@ -72,7 +73,7 @@
     opens_at = _opens_at(coordinator, waiter)
     if opens_at > expires_at and not request.excluded:
         return [_refuse_until(coordinator, waiter, opens_at, now)]
-    coordinator.demand.record_arrival(request.tier_rank, service, now)
+    coordinator.forecast.record_arrival(waiter.rank[:2], service, now)
     coordinator.queue.add(waiter, expires_at=expires_at)
     return []
 
@@ -96,20 +97,22 @@
         expires_at=expires_at,
         latest_start=now + objective - prefill,
     )
-    if queue.is_late(request.request_id):
-        return _refuse_late(coordinator, queue, [waiter], now)
-    coordinator.late_wait.record_arrival(waiter.rank[:2], waiter.cost, now)
+    coordinator.forecast.record_arrival(waiter.rank[:2], waiter.cost, now)
     return []
 
 
-def _last_start(
-    coordinator: Coordinator, waiter: Waiter, now: Seconds
-) -> Seconds:
-    """Return when the fastest server has to begin, for an answer in its caller's time."""
-    request = waiter.request
+def _last_start(coordinator: Coordinator, waiter: Waiter, now: Seconds) -> Seconds:
+    """Return when a server has to begin, for an answer in its caller's time.
+
+    Work that only the fastest server could end in time, if idle, gets one turn.
+    """
+    request, forecast = waiter.request, coordinator.forecast
     prefill = fastest_service_time(coordinator.servers.values(), request, 0) or 0.0
     patience = request.patience or request.remaining
-    return min(now + patience - prefill, waiter.deadline - waiter.cost)
+    expected = waiter.deadline - forecast.run_time(waiter.cost, now)
+    turn = now + forecast.turn_time(waiter.cost, coordinator.slots(), now)
+    last = min(max(expected, turn), waiter.deadline - waiter.cost)
+    return min(now + patience - prefill, last)
 
 
 def _refuse_beyond_limits(
@@ -141,31 +144,74 @@
     )
 
 
-def _refuse_late(
+def refuse_new(
+    coordinator: Coordinator, requests: Iterable[PermitRequest], now: Seconds
+) -> list[Effect]:
+    """Refuse the requests that have just been queued in vain, after a pass over it."""
+    queue = coordinator.queue
+    if not isinstance(queue, ObjectiveQueue):
+        return []
+    waiters = [queue.get(request.request_id) for request in requests]
+    new = [waiter for waiter in waiters if waiter and not waiter.forecast_at]
+    return _refuse_hopeless(coordinator, queue, new, now)
+
+
+def review(coordinator: Coordinator, now: Seconds) -> list[Effect]:
+    """Renew the forecasts of some waiters in rotation, and refuse what waits in vain."""
+    queue = coordinator.queue
+    if not isinstance(queue, ObjectiveQueue):
+        return []
+    return _refuse_hopeless(coordinator, queue, queue.next_to_review(MAX_REVIEWED), now)
+
+
+def _refuse_hopeless(
     coordinator: Coordinator,
     queue: ObjectiveQueue,
-    late: Iterable[Waiter],
+    waiters: Collection[Waiter],
     now: Seconds,
 ) -> list[Effect]:
-    """Refuse the late waiters that are expected to expire before they get a slot.
+    """Refuse the waiters that are expected to expire before they get a slot.
 
     Repeated attempts stay queued, since their callers may have part of the answer.
     """
     effects: list[Effect] = []
-    for waiter in late:
+    slots = coordinator.slots() if waiters else 0.0
+    for waiter in waiters:
+        request_id = waiter.request.request_id
+        forecast = _forecast(coordinator, queue, waiter, now, slots=slots)
+        waited = now - waiter.forecast_at
+        if forecast.late != waiter.forecast.late and waiter.forecast_at:
+            level = waiter.rank[:2]
+            coordinator.forecast.record_unserved(level, waiter.forecast, waited, now)
+        if forecast.late != waiter.forecast.late or not waiter.forecast_at:
+            waiter.forecast, waiter.forecast_at = forecast, now
         if waiter.request.excluded:
             continue
-        level, request_id = waiter.rank[:2], waiter.request.request_id
-        cost_ahead = queue.cost_up_to(level) - waiter.cost
-        wait = coordinator.late_wait.estimate_wait(
-            level, cost_ahead, now, coordinator.slots()
-        )
-        if wait > MAX_WAIT_RATIO * max(0.0, queue.expires_at(request_id) - now):
+        if forecast.least > queue.expires_at(request_id) - now:
             queue.remove(request_id)
             effects.append(_refuse(coordinator, waiter, RefusalReason.DEADLINE, now))
     return effects
 
 
+def _forecast(
+    coordinator: Coordinator,
+    queue: ObjectiveQueue,
+    waiter: Waiter,
+    now: Seconds,
+    *,
+    slots: float,
+) -> Wait:
+    """Return how long a waiter is expected to wait from now on."""
+    request_id, level = waiter.request.request_id, waiter.rank[:2]
+    forecast = coordinator.forecast
+    ahead = queue.ahead_of(waiter, coordinator.minimum_shares)
+    turn = 0.0
+    if len(coordinator.permits) >= slots:
+        turn = forecast.turn_time(waiter.cost, slots, now)
+    late = queue.is_late(request_id)
+    return forecast.wait(level, ahead, now, slots=slots, turn=turn, late=late)
+
+
 def _refuse_for(
     coordinator: Coordinator, request: PermitRequest, host: HostId, hold: Hold
 ) -> list[Effect]:
@@ -281,13 +327,15 @@
 
 def refuse_expired(coordinator: Coordinator, now: Seconds) -> list[Effect]:
     """Refuse the waiters that have expired or can no longer be served in time."""
-    effects = [
-        _refuse(coordinator, waiter, RefusalReason.DEADLINE, now)
-        for waiter in coordinator.queue.pop_expired(now)
-    ]
+    effects: list[Effect] = []
+    for waiter in coordinator.queue.pop_expired(now):
+        waited = now - waiter.forecast_at
+        level = waiter.rank[:2]
+        coordinator.forecast.record_unserved(level, waiter.forecast, waited, now)
+        effects.append(_refuse(coordinator, waiter, RefusalReason.DEADLINE, now))
     queue = coordinator.queue
     if isinstance(queue, ObjectiveQueue):
-        effects += _refuse_late(coordinator, queue, queue.demote(now), now)
+        effects += _refuse_hopeless(coordinator, queue, queue.demote(now), now)
     return effects
 
 
@@ -357,7 +405,6 @@
         return shed(coordinator, now)
     effects: list[Effect] = []
     skipped = 0
-    slots = coordinator.slots()
     limit = MAX_SKIPPED + chooser.free_slots()
     held_off = chooser.held_off_hosts(queue.hosts())
     for waiter in queue.in_grant_order(
@@ -373,7 +420,13 @@
         else:
             level = waiter.rank[:2]
             coordinator.minimum_shares.record_grant(level, waiter.cost)
-            coordinator.late_wait.record_grant(waiter.cost, now, slots)
+            coordinator.forecast.record_wait(
+                level,
+                waiter.forecast,
+                now - waiter.forecast_at,
+                now,
+                limit=queue.expires_at(waiter.request.request_id) - waiter.forecast_at,
+            )
             effects += _grant(coordinator, waiter, choice, now, caution)
             chooser.record_grant(choice.record)
     return effects + shed(coordinator, now)
--- a/src/amaranthferry/minimum_share.py
+++ b/src/amaranthferry/minimum_share.py
@@ -4,7 +4,7 @@
 doesn't starve. A level that has got less goes before more urgent work.
 """
 
-from .late_wait import Level
+from .forecast import Level
 from .types import Seconds
 
 
@@ -30,4 +30,8 @@
 
     def is_below_minimum(self, level: Level) -> bool:
         """Return whether a level goes first until it gets its share."""
-        return self._credit.get(level, 0.0) > 0.0
+        return self.credit(level) > 0.0
+
+    def credit(self, level: Level) -> Seconds:
+        """Return the cost that a level may get before its turn; negative after more."""
+        return self._credit.get(level, 0.0)
--- a/src/amaranthferry/objectives.py
+++ b/src/amaranthferry/objectives.py
@@ -15,7 +15,7 @@
 import msgspec
 from sortedcontainers import SortedList
 
-from .late_wait import Level
+from .forecast import Ahead, Level
 from .lengths import LengthEstimate
 from .minimum_share import MinimumShares
 from .placement import (
@@ -61,6 +61,7 @@
         self._expiry: list[tuple[Seconds, int]] = []
         self._levels: dict[Level, _LevelCount] = {}
         self._hosts: Counter[HostId] = Counter()
+        self._reviewed = 0
 
     def __len__(self) -> int:
         return len(self._waiters)
@@ -196,10 +197,42 @@
         position = self._positions.get(request_id)
         return position is not None and self._order.bisect_left(position) >= count
 
-    def cost_ahead(self, rank: Rank) -> Seconds:
-        """Return the cost of the work in the levels before a rank."""
+    def ahead_of_new(self, rank: Rank) -> Ahead:
+        """Estimate the cost of the work that goes before a new waiter of a rank."""
         level = rank[:2]
-        return sum(count.cost for other, count in self._levels.items() if other < level)
+        above = sum(
+            count.cost for other, count in self._levels.items() if other < level
+        )
+        own = self._levels.get(level)
+        if own is None:
+            return Ahead(above, 0.0)
+        first = self._order.bisect_left(level)
+        timely = self._order.bisect_left((*level, True)) - first
+        return Ahead(above, own.cost * timely / own.waiters)
+
+    def ahead_of(self, waiter: Waiter, shares: MinimumShares) -> Ahead:
+        """Estimate the cost of the work that goes before a waiter.
+
+        Its own level counts in proportion to the number of waiters ahead, which avoids a
+        walk over the queue.
+        """
+        position = self._positions[waiter.request.request_id]
+        level = position[:2]
+        own = self._levels[level]
+        first = self._order.bisect_left(level)
+        count = self._order.bisect_left(position) - first
+        above = self.cost_up_to(level) - own.cost
+        credit = shares.credit(level)
+        return Ahead(above, own.cost * count / own.waiters, credit)
+
+    def next_to_review(self, limit: int) -> list[Waiter]:
+        """Return the next waiters in rotation, from the last in the order on."""
+        count = min(limit, len(self._order))
+        waiters = []
+        for _ in range(count):
+            self._reviewed = (self._reviewed - 1) % len(self._order)
+            waiters += self._waiters_at((self._order[self._reviewed],))
+        return waiters
 
     def count_before(self, waiter: Waiter) -> int:
         """Return the waiters of a waiter's level and of those before it."""
--- a/src/amaranthferry/wait_queue.py
+++ b/src/amaranthferry/wait_queue.py
@@ -7,6 +7,7 @@
 import msgspec
 from sortedcontainers import SortedList
 
+from .forecast import Ahead, Wait
 from .messages import PermitRequest
 from .types import HostId, ModelId, RequestId, Seconds, WorkspaceId
 
@@ -35,6 +36,9 @@
     sequence: int
 
 
+NO_WAIT = Wait()
+
+
 class Waiter(msgspec.Struct, eq=False):
     """Represent a waiting request; times are the coordinator's monotonic seconds."""
 
@@ -45,6 +49,9 @@
     rank: Rank
     grant_rank: Rank
     cost: Seconds = 0.0
+    #: The newest forecast of the wait, and when it was made.
+    forecast: Wait = NO_WAIT
+    forecast_at: Seconds = 0.0
 
     @property
     def group(self) -> _Group:
@@ -192,8 +199,8 @@
         """Return the waiters that go before a waiter."""
         return self._ranks.bisect_left(waiter.rank)
 
-    def cost_ahead(self, rank: Rank) -> Seconds:
-        """Estimate the cost of the work that goes before a rank.
+    def ahead_of_new(self, rank: Rank) -> Ahead:
+        """Estimate the cost of the work that goes before a new waiter of a rank.
 
         Higher levels count in full. The rank's own level counts in proportion to the
         number of waiters ahead, which avoids a walk over the queue.
@@ -202,8 +209,8 @@
         ahead = sum(cost for other, cost in self._costs.items() if other < level)
         own = self._costs.get(level, 0.0)
         if own <= 0.0:
-            return ahead
+            return Ahead(ahead, 0.0)
         first = self._ranks.bisect_left((*level,))
         last = self._ranks.bisect_left((level[0], level[1] + 1))
         before = self._ranks.bisect_left(rank)
-        return ahead + own * (before - first) / max(1, last - first)
+        return Ahead(ahead, own * (before - first) / max(1, last - first))
