Treat what a server turned away unrun like a first attempt

Callers saw: a request that one server had turned away was kept waiting to the end where first attempts are told at once that there is no room; beside limited or held-off servers, too. Cause: four decisions spared every request with servers tried before (excluded).

The host now says so with the permit request (may_have_run, a last field that earlier releases ignore); only such requests are spared. tests/test_attempts.py holds both sides at the coordinator and at the host; the side of requests that were turned away fails before.

--- a/src/amaranthferry/granting.py
+++ b/src/amaranthferry/granting.py
@@ -71,7 +71,7 @@
     if expires_at <= now:
         return [_refuse(coordinator, waiter, RefusalReason.DEADLINE, now)]
     opens_at = _opens_at(coordinator, waiter)
-    if opens_at > expires_at and not request.excluded:
+    if opens_at > expires_at and not request.may_have_run:
         return [_refuse_until(coordinator, waiter, opens_at, now)]
     coordinator.forecast.record_arrival(waiter.rank[:2], service, now)
     coordinator.queue.add(waiter, expires_at=expires_at)
@@ -90,7 +90,7 @@
     if expires_at <= now:
         return [_refuse(coordinator, waiter, RefusalReason.DEADLINE, now)]
     opens_at = _opens_at(coordinator, waiter)
-    if opens_at > expires_at and not request.excluded:
+    if opens_at > expires_at and not request.may_have_run:
         return [_refuse_until(coordinator, waiter, opens_at, now)]
     queue.add(
         waiter,
@@ -120,7 +120,7 @@
 ) -> Effect | None:
     """Refuse a request that servers, which all name limits, don't take in time.
 
-    Repeated attempts are queued, since their callers may have part of the answer.
+    One that may have run is queued, since a refusal would be untrue.
     """
     rate, available = 0.0, 0
     for record in coordinator.servers.values():
@@ -130,7 +130,7 @@
             return None
         rate += coordinator.rate_of(record) or 0.0
         available += record.allowance.available
-    if not rate or waiter.request.excluded:
+    if not rate or waiter.request.may_have_run:
         return None
     wait = max(0, coordinator.queue.count_before(waiter) + 1 - available) / rate
     if wait <= _last_start(coordinator, waiter, now) - now:
@@ -172,7 +172,7 @@
 ) -> list[Effect]:
     """Refuse the waiters that are expected to expire before they get a slot.
 
-    Repeated attempts stay queued, since their callers may have part of the answer.
+    Those that may have run stay queued, since a refusal would be untrue.
     """
     effects: list[Effect] = []
     slots = coordinator.slots() if waiters else 0.0
@@ -185,7 +185,7 @@
             coordinator.forecast.record_unserved(level, waiter.forecast, waited, now)
         if forecast.late != waiter.forecast.late or not waiter.forecast_at:
             waiter.forecast, waiter.forecast_at = forecast, now
-        if waiter.request.excluded:
+        if waiter.request.may_have_run:
             continue
         if forecast.least > queue.expires_at(request_id) - now:
             queue.remove(request_id)
@@ -263,12 +263,12 @@
 ) -> list[Effect]:
     """Refuse a host's waiters that expire before any server wants its work again.
 
-    They are told when that is. Repeated attempts stay queued, since their callers may
-    have part of the answer.
+    They are told when that is. Those that may have run stay queued, since a refusal
+    would be untrue.
     """
     effects: list[Effect] = []
     for waiter in coordinator.queue:
-        if waiter.host != host or waiter.request.excluded:
+        if waiter.host != host or waiter.request.may_have_run:
             continue
         opens_at = _opens_at(coordinator, waiter)
         request_id = waiter.request.request_id
--- a/src/amaranthferry/messages.py
+++ b/src/amaranthferry/messages.py
@@ -57,7 +57,8 @@
     """Request a permit from a shard's coordinator to dispatch one request.
 
     Deadlines are sent as remaining seconds, since hosts share no clock. `patience` is the
-    time that the caller still waits for the next event of its answer.
+    time that the caller still waits for the next event of its answer. A request that may
+    have run on another server can't be refused, which says that it hasn't.
     """
 
     request_id: RequestId
@@ -80,6 +81,7 @@
     quota_cost: float = 0.0
     patience: Seconds = 0.0
     digest: RequestDigest = RequestDigest(0)
+    may_have_run: bool = False
 
 
 class PermitGrant(Message, frozen=True, tag="grant"):
--- a/src/amaranthferry/requests.py
+++ b/src/amaranthferry/requests.py
@@ -68,6 +68,7 @@
     output_tokens: Tokens = 0
     connection_retries: int = 0
     tried_servers: tuple[ServerId, ...] = ()
+    may_have_run: bool = False
     claim_held: bool = False
     #: Subjects as the grant of the current dispatch described them.
     alone_subjects: tuple[int, ...] = ()
@@ -139,6 +140,7 @@
             quota_cost=0.0 if self.tried_servers else arrival.quota_cost,
             patience=self._remaining_patience(now),
             digest=arrival.digest,
+            may_have_run=self.may_have_run,
         )
 
     def _remaining_patience(self, now: Seconds) -> Seconds:
--- a/src/amaranthferry/running.py
+++ b/src/amaranthferry/running.py
@@ -146,6 +146,7 @@
     if req is None or not req.is_running:
         return []
     req.tried_servers = (*req.tried_servers, _server_of(req))
+    req.may_have_run = True
     # Who decides on the next attempt has to know the evidence first.
     accused = accuse(state, req) if event.server_ended else []
     if event.from_server:
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -3,6 +3,11 @@
 import msgspec
 import pytest
 
+from amaranthferry import events
+from amaranthferry.core import reduce
+from amaranthferry.messages import PermitRequest
+
+from .test_forecast import LoadSimulation
 from .test_objectives import (
     fill,
     granted,
@@ -13,6 +18,7 @@
     send,
     tick,
 )
+from .test_reruns import new_state, sent, start_dispatch
 
 PROMPT, OTHER_PROMPT = (11, 12, 13), (21, 22, 23)
 
@@ -61,3 +67,47 @@
     other = prompt_request("other", OTHER_PROMPT, remaining=10.0)
     assert granted(send(coordinator, other, 4.1)) == []
     assert granted(send(coordinator, release(name, server), 4.2)) == ["again"]
+
+
+def second_run(name, *, may_have_run, **options):
+    request = permit_request(name, **options)
+    return msgspec.structs.replace(
+        request, excluded=("engine-9",), may_have_run=may_have_run
+    )
+
+
+def overloaded_coordinator():
+    return LoadSimulation(25.0, seconds=5.0).coordinator
+
+
+def test_request_that_may_have_run_is_not_refused_on_a_forecast():
+    coordinator = overloaded_coordinator()
+    first = permit_request("first", objective=-1.0)
+    assert refused(send(coordinator, first, 5.0)) == ["first"]
+    resumed = second_run("resumed", objective=-1.0, may_have_run=True)
+    assert refused(send(coordinator, resumed, 5.0)) == []
+    assert "resumed" in coordinator.queue
+
+
+def test_request_that_a_server_turned_away_unrun_is_treated_like_a_first_attempt():
+    coordinator = overloaded_coordinator()
+    first = permit_request("first", objective=-1.0)
+    assert refused(send(coordinator, first, 5.0)) == ["first"]
+    turned_away = second_run("second", objective=-1.0, may_have_run=False)
+    assert refused(send(coordinator, turned_away, 5.0)) == ["second"]
+
+
+@pytest.mark.parametrize(
+    ("event", "may_have_run"),
+    [
+        (events.DispatchFailed(now=0.5, request_id="r1"), True),
+        (events.DispatchRefused(now=0.5, request_id="r1", by_server=True), False),
+    ],
+    ids=["broken", "turned-away"],
+)
+def test_host_says_whether_a_request_may_have_run(event, may_have_run):
+    state = new_state()
+    start_dispatch(state, repeatable=True, max_attempts=2)
+    (request,) = sent(reduce(state, event), PermitRequest)
+    assert request.message.excluded == ("engine-1",)
+    assert request.message.may_have_run is may_have_run
--- a/tests/test_forecast.py
+++ b/tests/test_forecast.py
@@ -214,20 +214,6 @@
     assert LoadSimulation(8.0).refusal_delays == [[]]
 
 
-def test_repeated_attempt_is_not_refused_as_late():
-    """Under overload, a stream that resumes on another server must not be refused."""
-    coordinator = LoadSimulation(25.0, seconds=5.0).coordinator
-    first = msgspec.structs.replace(
-        permit_request("first", objective=-1.0), excluded=()
-    )
-    second = msgspec.structs.replace(
-        permit_request("second", objective=-1.0), excluded=("x",)
-    )
-    assert refused(send(coordinator, first, 5.0)) == ["first"]
-    assert refused(send(coordinator, second, 5.0)) == []
-    assert "second" in coordinator.queue
-
-
 def test_callers_with_time_are_not_refused_as_their_objective_passes():
     """All 30 slots are taken for 3.2 s; then 24 callers come that have 5 to 10 s."""
     coordinator = make_coordinator(servers=5, slots=6)
