Tell refused callers when room is expected, one after the other

Callers saw: each refusal named 0.32 of the time they had left, whatever stood in the queue; of those that came back as told about half were refused again. Beyond servers' limits the time was cut to 0.32 of what was left, and no time was under 0.5 s, though a slot takes a few milliseconds to become free on a large fleet. Cause: HONORED_RETRY_FRACTION (the most that callers honour, with a margin), and constants.

Now a refusal tells when the work before a new request of that level has a slot by the forecast, with one turn of a slot for each caller told before it and not less than one; callers of more urgent levels go first. A time beyond what the caller can use is told as it is and takes no place from others.

--- a/src/amaranthferry/forecast.py
+++ b/src/amaranthferry/forecast.py
@@ -157,9 +157,7 @@
         in_order = _time(
             ahead.above + ahead.own, self.drain(level, slots, now, late=late)
         )
-        arrivals = self._arrivals.get(level)
-        asked = 0.0 if arrivals is None else arrivals.rate(now)
-        share = self.minimum_share * min(asked, self._capacity(slots, now))
+        share = self._share(level, slots, now)
         by_share = _time(max(0.0, ahead.own - ahead.credit), share)
         fluid = turn + min(in_order, by_share)
         accuracy = self._accuracy(level, late)
@@ -170,6 +168,17 @@
     def _accuracy(self, level: Level, late: bool) -> _Accuracy:
         return self._accuracies.setdefault((level, late), _Accuracy())
 
+    def rate(self, level: Level, cost: Seconds, slots: float, now: Seconds) -> float:
+        """Return how many requests of a level get a slot a second, one after another."""
+        drain = self.drain(level, slots, now)
+        return max(drain, self._share(level, slots, now)) / cost if cost > 0 else inf
+
+    def _share(self, level: Level, slots: float, now: Seconds) -> float:
+        """Return the cost a second that a level gets however much goes before it."""
+        arrivals = self._arrivals.get(level)
+        asked = 0.0 if arrivals is None else arrivals.rate(now)
+        return self.minimum_share * min(asked, self._capacity(slots, now))
+
     def _capacity(self, slots: float, now: Seconds) -> float:
         """Return the cost that all slots complete a second."""
         return max(1.0, slots) * self._efficiency(now)
--- a/src/amaranthferry/granting.py
+++ b/src/amaranthferry/granting.py
@@ -16,11 +16,10 @@
 
 #: Waiters that are tried from the head of a lane before the lane is skipped.
 LOOK_AHEAD = 8
-MIN_RETRY_AFTER: Seconds = 0.5
+#: Retry-After without any server; how often the list of servers is read.
+NO_SERVER_RETRY: Seconds = 0.5
 #: Age up to which a waiter may be missing from its host's registration.
 REGISTRATION_GRACE: Seconds = 1.0
-#: Largest retry-after that a caller honors, as a fraction of its time left.
-HONORED_RETRY_FRACTION = 0.32
 #: Waiters whose forecast is renewed at a tick, so that its cost is bounded.
 MAX_REVIEWED = 16
 MAX_RETRY_AFTER: Seconds = 300.0
@@ -135,9 +134,9 @@
     wait = max(0, coordinator.queue.count_before(waiter) + 1 - available) / rate
     if wait <= _last_start(coordinator, waiter, now) - now:
         return None
-    latest = (waiter.deadline - now) * HONORED_RETRY_FRACTION
+    latest = waiter.deadline - waiter.cost - now
     retry_after = coordinator.return_times.book(
-        now, wait=wait, rate=rate, latest=latest
+        waiter.rank[:2], now, wait=wait, rate=rate, latest=latest
     )
     return _refuse_for_time(
         coordinator, waiter, RefusalReason.SERVER_LIMIT, retry_after, now
@@ -344,19 +343,28 @@
 ) -> Effect:
     coordinator.fair_share.refund(waiter.request, waiter.cost)
     coordinator.quotas.refund(waiter.request.workspace, waiter.request.quota_cost, now)
-    wait = coordinator.predicted_wait(waiter.rank, now)
-    if reason is RefusalReason.DEADLINE:
-        wait -= max(0.0, waiter.deadline - now - waiter.cost)
-    if isinstance(coordinator.queue, ObjectiveQueue):
-        # The objective has already been missed, so the latest retry that the caller
-        # still makes costs it nothing and is the most likely to find free slots.
-        wait = max(wait, (waiter.deadline - now) * HONORED_RETRY_FRACTION)
-    retry_after = min(MAX_RETRY_AFTER, max(MIN_RETRY_AFTER, wait))
+    if reason is RefusalReason.NO_SERVER:
+        retry_after = NO_SERVER_RETRY
+    else:
+        retry_after = min(MAX_RETRY_AFTER, _room_in(coordinator, waiter, now))
     return _refusal_effect(
         coordinator, waiter.request, waiter.host, reason, retry_after
     )
 
 
+def _room_in(coordinator: Coordinator, waiter: Waiter, now: Seconds) -> Seconds:
+    """Return after which time a refused caller finds a slot, as far as forecast."""
+    level, slots = waiter.rank[:2], coordinator.slots()
+    turn = coordinator.forecast.turn_time(waiter.cost, slots, now)
+    return coordinator.return_times.book(
+        level,
+        now,
+        wait=turn + coordinator.predicted_wait(waiter.rank, now),
+        rate=coordinator.forecast.rate(level, waiter.cost, slots, now),
+        latest=waiter.deadline - waiter.cost - now,
+    )
+
+
 def _refusal_effect(
     coordinator: Coordinator,
     request: PermitRequest,
