Tell callers of a host what holds for them, not one second

Callers saw: Retry-After 1 s from a stopping host, though any other host could serve them at once (the edge already said so, the reducer didn't); 1 s after a wait to the deadline, after a server had turned them away, and as the budget for connections was used up, whatever held them. Cause: four constants.

Now: at once elsewhere (0.05 s) where another host can serve; the wait that the shard's coordinator advertised; when the server that turned work away gets work again; when the budget allows the next retry. Advertised waits end at 300 s, since a forecast may have none.

Four new cases of tests/test_retry_after.py (8 with their parameters); all but the budget's, whose method is new, state what was 1 s before.

--- a/src/amaranthferry/coordinator.py
+++ b/src/amaranthferry/coordinator.py
@@ -48,6 +48,8 @@
 #: Fraction of the servers up to which slow ones get less work.
 MAX_STRAGGLING_FRACTION = 0.5
 ADVERT_INTERVAL: Seconds = 1.0
+#: Longest wait that is told; a forecast further ahead says nothing.
+MAX_PREDICTED_WAIT: Seconds = 300.0
 #: Queue notices to all hosts together, so that they don't slow down the decisions.
 MAX_NOTICES_PER_SECOND = 600
 MAX_ADVERTS_PER_INTERVAL = 64
@@ -437,7 +439,7 @@
         """Return the expected wait for the work that goes before a rank."""
         ahead = self.queue.ahead_of_new(rank)
         wait = self.forecast.wait(rank[:2], ahead, now, slots=self.slots())
-        return wait.expected
+        return min(MAX_PREDICTED_WAIT, wait.expected)
 
     def _waits(self, now: Seconds) -> tuple[Seconds, ...]:
         ranks = (Rank(tier + 1, 0, 0, 0.0, 0) for tier in range(self._tiers))
--- a/src/amaranthferry/entry.py
+++ b/src/amaranthferry/entry.py
@@ -45,8 +45,10 @@
     StoreOutageRule,
 )
 
-DRAIN_RETRY_AFTER: Seconds = 1.0
-EXPIRED_RETRY_AFTER: Seconds = 1.0
+#: Interval at which hosts ask each other for the newest settings.
+SETTINGS_RETRY: Seconds = 2.0
+#: Retry-After where another host can serve the request at once.
+OTHER_HOST_RETRY: Seconds = 0.05
 #: Longest wait for a claim in classes that refuse work during a store outage.
 REFUSING_CLAIM_TIMEOUT: Seconds = 2.0
 #: Reasons for which the server of a returned grant should get no other request now.
@@ -58,7 +60,9 @@
     req = Request.from_arrival(event, state.deployment)
     reason = _rejection_reason(state)
     if reason is not None:
-        return [refusal_effect(event.request_id, reason, DRAIN_RETRY_AFTER)]
+        draining = reason is RefusalReason.DRAINING
+        retry_after = OTHER_HOST_RETRY if draining else SETTINGS_RETRY
+        return [refusal_effect(event.request_id, reason, retry_after)]
     # An earlier attempt with the same key may have run: its claim tells.
     hold = None if event.idempotency_key else hold_arrival(state, event)
     if hold is not None:
@@ -362,5 +366,10 @@
 
 
 def refuse_expired(state: HostState, req: Request) -> list[Effect]:
-    """Refuse a request that has not been executed by its deadline."""
-    return refuse(state, req, RefusalReason.DEADLINE, EXPIRED_RETRY_AFTER)
+    """Refuse a request that has not been executed by its deadline.
+
+    Nobody has decided on it in time, so another host may serve its caller sooner.
+    """
+    wait = _advertised_wait(state, req.shard, req)
+    retry_after = max(OTHER_HOST_RETRY, wait)
+    return refuse(state, req, RefusalReason.DEADLINE, retry_after)
--- a/src/amaranthferry/granting.py
+++ b/src/amaranthferry/granting.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Collection, Iterable
 
-from .coordinator import Coordinator
+from .coordinator import MAX_PREDICTED_WAIT, Coordinator
 from .effects import Effect, ReportHold, ReportTrial, SendToHost
 from .forecast import Wait
 from .harm.ledger import Hold
@@ -22,7 +22,7 @@
 REGISTRATION_GRACE: Seconds = 1.0
 #: Waiters whose forecast is renewed at a tick, so that its cost is bounded.
 MAX_REVIEWED = 16
-MAX_RETRY_AFTER: Seconds = 300.0
+MAX_RETRY_AFTER = MAX_PREDICTED_WAIT
 
 
 def enqueue(
--- a/src/amaranthferry/retry.py
+++ b/src/amaranthferry/retry.py
@@ -60,3 +60,8 @@
             return False
         self.tokens -= 1.0
         return True
+
+    def next_in(self, now: Seconds) -> Seconds:
+        """Return after which time the budget allows a retry without first attempts."""
+        earned = max(0.0, now - self.refilled_at) * MIN_RETRIES_PER_SECOND
+        return max(0.0, 1.0 - self.tokens - earned) / MIN_RETRIES_PER_SECOND
--- a/src/amaranthferry/running.py
+++ b/src/amaranthferry/running.py
@@ -9,7 +9,13 @@
     SendToHost,
     SettleRequest,
 )
-from .entry import refuse, refuse_expired, request_permit, withdraw
+from .entry import (
+    OTHER_HOST_RETRY,
+    refuse,
+    refuse_expired,
+    request_permit,
+    withdraw,
+)
 from .events import (
     CallerGone,
     DeadlinePassed,
@@ -24,20 +30,17 @@
 from .messages import PermitProgress, PermitRelease
 from .reducer import apply_event
 from .requests import Request
+from .servers import MIN_BACKOFF
 from .state import HostState
 from .types import (
     Outcome,
     RefusalReason,
     RequestState,
-    Seconds,
     ServerId,
     WasteCause,
 )
 
 MAX_CONNECTION_RETRIES = 3
-SERVER_REFUSED_RETRY: Seconds = 1.0
-#: Retry-After from a stopping host; another host can serve the request at once.
-OTHER_HOST_RETRY: Seconds = 0.05
 
 
 @apply_event.register
@@ -51,7 +54,8 @@
         if req.may_redispatch and _spend_repeat_budget(state, req):
             req.transition_to(RequestState.WAITING)
             return effects + request_permit(state, req)
-        retry_after = max(SERVER_REFUSED_RETRY, state.pool_hold_off(req.arrival.pool))
+        # A server that has turned work away gets none until then.
+        retry_after = max(MIN_BACKOFF, state.pool_hold_off(req.arrival.pool))
         effects += refuse(state, req, RefusalReason.SERVER_REFUSED, retry_after)
         return [*effects, _wasted_prefill(WasteCause.ENGINE_REFUSED, 0)]
     req.connection_retries += 1
@@ -60,7 +64,8 @@
     if req.caller_gone:
         return effects + refuse(state, req, RefusalReason.CALLER_GONE, 0.0)
     if exhausted or not budget.take(state.now):
-        return effects + refuse(state, req, RefusalReason.RETRY_BUDGET, 1.0)
+        retry_after = max(OTHER_HOST_RETRY, budget.next_in(state.now))
+        return effects + refuse(state, req, RefusalReason.RETRY_BUDGET, retry_after)
     req.transition_to(RequestState.WAITING)
     return effects + request_permit(state, req)
 
--- a/tests/test_retry_after.py
+++ b/tests/test_retry_after.py
@@ -3,8 +3,15 @@
 import msgspec
 import pytest
 
-from amaranthferry.messages import PermitRefusal
-
+from amaranthferry import events
+from amaranthferry.core import reduce
+from amaranthferry.effects import SettleRequest
+from amaranthferry.entry import OTHER_HOST_RETRY
+from amaranthferry.messages import PermitRefusal, ShardAdvert
+from amaranthferry.retry import RetryBudget
+from amaranthferry.servers import MIN_BACKOFF
+
+from .test_core import OTHER, SHARD, arrival, receive
 from .test_objectives import (
     fill,
     make_coordinator,
@@ -13,6 +20,12 @@
     send,
     tick,
 )
+from .test_reruns import new_state, start_dispatch
+
+
+def told_by_host(effects):
+    (refusal,) = [e for e in effects if isinstance(e, SettleRequest)]
+    return refusal.retry_after
 
 
 def refusals(messages):
@@ -84,3 +97,33 @@
     at_once = permit_request("late", remaining=10.0, patience=0.005)
     (refusal,) = refusals(send(other, at_once, 2.2))
     assert expired.retry_after == pytest.approx(refusal.retry_after, rel=0.1)
+
+
+def test_caller_of_a_stopping_host_is_sent_to_another_one_at_once():
+    state = new_state()
+    state.draining = True
+    assert told_by_host(reduce(state, arrival())) == OTHER_HOST_RETRY
+
+
+@pytest.mark.parametrize("wait", [0.0, 0.3, 7.0])
+def test_caller_that_waited_to_its_deadline_is_told_the_wait_of_its_shard(wait):
+    state = new_state()
+    receive(state, ShardAdvert(SHARD, OTHER, (wait, wait)), now=0.0)
+    reduce(state, arrival(timeout=5.0))
+    effects = reduce(state, events.DeadlinePassed(now=5.0, request_id="r1"))
+    assert told_by_host(effects) == max(OTHER_HOST_RETRY, wait)
+
+
+def test_caller_that_a_server_turned_away_is_told_when_that_gets_work_again():
+    state = new_state()
+    start_dispatch(state, max_attempts=1)
+    refused = events.DispatchRefused(now=0.5, request_id="r1", by_server=True)
+    assert told_by_host(reduce(state, refused)) == MIN_BACKOFF
+
+
+@pytest.mark.parametrize("tokens", [0.0, 0.5, 0.9])
+def test_caller_beyond_the_budget_is_told_when_it_allows_a_retry(tokens):
+    budget = RetryBudget(tokens=tokens)
+    now = budget.next_in(0.0)
+    assert not budget.take(now - 0.01)
+    assert budget.take(now)
