Wait for the room of a body as long as callers wait to be read

Callers saw: a request with a long body waited for memory for half of its time; its caller had given it up long before, unread. Cause: MAX_ROOM_WAIT, a fraction without a reason. The interface states how long callers wait until their request is read: 1 s, or a third of the time left. A host refuses 0.1 s before, and sends the caller to another host at once (it named 1 s).

tests/gateway/test_body_room.py: 4 of 5 fail before (37 s instead of 6).

--- a/src/amaranthferry/gateway/edge.py
+++ b/src/amaranthferry/gateway/edge.py
@@ -22,6 +22,7 @@
     work_class_id,
 )
 from ..config import KIBIBYTE
+from ..entry import OTHER_HOST_RETRY
 from ..events import RequestArrived
 from ..exceptions import RequestError
 from ..harm.digest import digest_request
@@ -31,7 +32,6 @@
 from ..platform.desired import CONFIG_KIND
 from ..problems import Problem
 from ..replica.statements import Statement
-from ..running import OTHER_HOST_RETRY
 from ..types import ModelId, PoolId, Seconds
 from .dispatching import RoutedCall
 from .exchange import BufferedAnswer, RoutedExchange, TruncatedAnswer
@@ -50,10 +50,9 @@
 #: Retry-After for requests that a host cannot admit yet.
 NOT_READY_RETRY: Seconds = 0.5
 STOPPING = "This host is stopping."
-#: Part of a request's time for which its body may wait for room.
-MAX_ROOM_WAIT = 0.5
 NO_ROOM = "no_room"
-NO_ROOM_RETRY: Seconds = 1.0
+#: Time in which a refusal reaches a caller that is about to give up.
+REFUSAL_TIME: Seconds = 0.1
 CALLER_STALL_TIMEOUT: Seconds = 30.0
 #: Bytes of a whole answer that are written at once.
 PIECE_BYTES = 64 * KIBIBYTE
@@ -306,13 +305,14 @@
         self._room: BodyRoom | None = None
 
     async def wait(self, size: int, left: Seconds) -> None:
-        """Wait for room before the body is read; raise RequestError without any."""
+        """Wait for room until the caller would give up; raise RequestError without any."""
         if size <= SMALL_BODY_BYTES:
             return
         has_room = asyncio.Event()
         self._room = self._memory.reserve(size, has_room.set)
         try:
-            async with asyncio.timeout(left * MAX_ROOM_WAIT):
+            patience = headers.unread_patience(left) - REFUSAL_TIME
+            async with asyncio.timeout(max(0.0, patience)):
                 await has_room.wait()
         except TimeoutError:
             raise _not_ready_error(
@@ -515,9 +515,9 @@
 def _retry_after(exc: RequestError, *, stopping: bool) -> Seconds | None:
     if exc.status != 503:
         return None
-    if exc.code == NO_ROOM:
-        return NO_ROOM_RETRY
-    return OTHER_HOST_RETRY if stopping else NOT_READY_RETRY
+    # Another host has room for the body, or doesn't stop.
+    elsewhere = stopping or exc.code == NO_ROOM
+    return OTHER_HOST_RETRY if elsewhere else NOT_READY_RETRY
 
 
 def _unknown_route_error() -> RequestError:
