Give a silent server an even part of what its caller waits

Callers saw: a server that had not answered after 1.5 times the route's objective was given up for another one, and a stream after twice its objective for pauses (1.5 s at least), sound or not, whatever time the caller had. Cause: three constants, shares of the aim.

gateway/patience.py decides without I/O: what the caller still waits (deadline, or the time until it gives up on a stream) is divided evenly among this run and those that may follow. Before an answer begins, a server gets more if its service has been slower lately (mean and four deviations, as RFC 6298 does), and is not given up while nothing is known of the service, or no time is left for another answer.

--- a/src/amaranthferry/gateway/application.py
+++ b/src/amaranthferry/gateway/application.py
@@ -49,6 +49,7 @@
 from .listener import Listener
 from .log_events import LogEvent
 from .operator_api import OperatorApi, answer
+from .patience import AnswerTimes
 from .performer import Performer
 from .stopping import StopPlan
 from .telemetry import Telemetry
@@ -133,6 +134,7 @@
         self.lateness = Lateness(self.clock())
         self._memory_budget = MemoryBudget.from_limit(settings.memory)
         self.answers = AnswerMemory(self._memory_budget.answers)
+        self.answer_times = AnswerTimes()
         self.bodies = BodyMemory(self._memory_budget.bodies)
         self._footprint = Footprint(settings.memory)
         #: The key that the hosts share; empty until it has been read.
--- a/src/amaranthferry/gateway/dispatching.py
+++ b/src/amaranthferry/gateway/dispatching.py
@@ -45,18 +45,12 @@
 )
 from .exchange import RoutedExchange
 from .log_events import LogEvent
+from .patience import AnswerTimes, even_part
 from .sse import EventReader, ResumedRun, UnprovenEvent
 
 #: A lost SYN is retransmitted only after seconds; another server answers sooner.
 CONNECT_TIMEOUT: Seconds = 0.3
 PROGRESS_PERIOD: Seconds = 0.5
-#: Multiple of the route's objective after which a repeatable request that has no
-#: answer is retried on another server.
-START_TIMEOUT_OBJECTIVES = 1.5
-#: Time without progress after which a stream is resumed on another server, at least
-#: and as a multiple of the route's objective for pauses.
-STREAM_GAP_TIMEOUT: Seconds = 1.5
-GAP_OBJECTIVES = 2.0
 #: Bytes that count as progress inside an event.
 PROGRESS_BYTES = 1_024
 #: Interval at which a stalled stream looks for another server.
@@ -119,6 +113,7 @@
         can_rerun: Callable[[], bool],
         is_limited: Callable[[], bool],
         answers: AnswerMemory,
+        times: AnswerTimes,
     ) -> None:
         self._exchange = exchange
         self.decided_by = decided_by
@@ -130,6 +125,7 @@
         self._can_rerun = can_rerun
         self._is_limited = is_limited
         self._answers = answers
+        self._times = times
         self._sent_at: Seconds = 0.0
         self._tokens: Tokens = 0
         self._reported_at: Seconds = 0.0
@@ -267,6 +263,8 @@
             start = await self._wait_for(conn.start, self._start_timeout)
             return await self._receive_answer(conn, start)
         except (BrokenAnswer, TimeoutError) as exc:
+            if self._started_at is None and isinstance(exc, TimeoutError):
+                self._times.back_off(self.service, self._clock() - self._sent_at)
             details = self.answer_details() | self._break_details()
             if not conn.connected:
                 self.process = await check_process(
@@ -312,10 +310,15 @@
         may_retry = self._exchange.dispatches < route.max_attempts
         if not (route.repeatable and may_retry):
             return left
-        timeout = route.objective * START_TIMEOUT_OBJECTIVES
-        if self._call.streaming:
-            timeout = max(timeout, STREAM_GAP_TIMEOUT)
-        return min(left, timeout)
+        patience = left
+        if route.event_timeout:
+            gives_up_at = self._call.arrived + route.event_timeout
+            patience = min(left, gives_up_at - self._sent_at)
+        limit = self._times.silence_limit(
+            self.service, patience, route, dispatches=self._exchange.dispatches
+        )
+        remaining = limit - (self._clock() - self._sent_at)
+        return min(left, remaining if remaining > 0 else STALL_CHECK_PERIOD)
 
     async def _receive_answer(
         self, conn: HttpConnection, start: AnswerStart
@@ -352,6 +355,7 @@
             raise BrokenAnswer("The answer carries the attempt id of another request.")
         if start.status < MIN_REDIRECT and not origin.signed:
             raise BrokenAnswer("The answer has no server signature.")
+        self._times.observe(self.service, self._started_at - self._sent_at)
         self._ran = origin.signed and start.status not in REFUSAL_STATUSES
         self._failed = start.status >= MIN_SERVER_ERROR
         if self._failed:
@@ -478,8 +482,10 @@
         return passed
 
     def _max_gap(self) -> Seconds:
-        objective = self._call.route.gap_objective
-        return max(STREAM_GAP_TIMEOUT, GAP_OBJECTIVES * objective)
+        """Return how long a stream may bring no event before another run goes on."""
+        route, left = self._call.route, self._call.deadline - self._progress_at
+        patience = min(left, route.event_timeout or left)
+        return even_part(patience, route, dispatches=self._exchange.dispatches)
 
     def _stalled_for(self) -> Seconds:
         return self._clock() - self._progress_at
--- a/src/amaranthferry/gateway/performer.py
+++ b/src/amaranthferry/gateway/performer.py
@@ -224,6 +224,7 @@
         decided_by=decided_by,
         clock=app.clock,
         can_rerun=lambda: app.can_rerun(effect.request_id),
+        times=app.answer_times,
         is_limited=lambda: app.state.server_rates.is_limited(incarnation),
         answers=app.answers,
     )
