Forecast by the urgent work that is admitted, not by all that is asked

Callers saw: lower kinds were told times far beyond their own, and refused, though slots were left for them: under overload the most urgent work is partly refused, but all that was asked was taken to go ahead of what is less urgent. Cause: the forecast counted arrivals. Refusals are counted against them now (record_refusal).

tests/test_forecast.py: urgent work of which 38 of 40 are refused delays lower work as 2 that are served do; fails before.

--- a/src/amaranthferry/forecast.py
+++ b/src/amaranthferry/forecast.py
@@ -12,7 +12,7 @@
 from .decay import DecayingSum
 from .types import Seconds
 
-#: Time constant over which arrivals are averaged.
+#: Time constant over which arrivals and refusals are averaged.
 ARRIVAL_TIME: Seconds = 2.0
 #: Time constant over which completions and the errors of forecasts are averaged.
 COMPLETION_TIME: Seconds = 15.0
@@ -80,6 +80,7 @@
         #: The fraction of each level's work that is served at least.
         self.minimum_share = minimum_share
         self._arrivals: dict[Level, DecayingSum] = {}
+        self._refusals: dict[Level, DecayingSum] = {}
         self._cost = DecayingSum(COMPLETION_TIME)
         self._elapsed = DecayingSum(COMPLETION_TIME)
         self._completions = DecayingSum(COMPLETION_TIME)
@@ -89,6 +90,10 @@
         """Record work that is asked for."""
         self._arrivals.setdefault(level, DecayingSum(ARRIVAL_TIME)).add(cost, now)
 
+    def record_refusal(self, level: Level, cost: Seconds, now: Seconds) -> None:
+        """Record work that was asked for and is refused."""
+        self._refusals.setdefault(level, DecayingSum(ARRIVAL_TIME)).add(cost, now)
+
     def record_completion(self, cost: Seconds, elapsed: Seconds, now: Seconds) -> None:
         """Record work that occupied a slot for some time."""
         if cost > 0 and elapsed > 0:
@@ -132,10 +137,11 @@
         """Return the cost that is completed a second beyond what goes first anyway.
 
         More urgent work keeps arriving, and before late work also that of its own level.
+        What is refused takes no slot.
         """
         ahead = sum(
-            cost.rate(now)
-            for other, cost in self._arrivals.items()
+            self._admitted(other, now)
+            for other in self._arrivals
             if other < level or (late and other == level)
         )
         return self._capacity(slots, now) - ahead
@@ -179,6 +185,11 @@
         asked = 0.0 if arrivals is None else arrivals.rate(now)
         return self.minimum_share * min(asked, self._capacity(slots, now))
 
+    def _admitted(self, level: Level, now: Seconds) -> float:
+        refusals = self._refusals.get(level)
+        refused = 0.0 if refusals is None else refusals.rate(now)
+        return max(0.0, self._arrivals[level].rate(now) - refused)
+
     def _capacity(self, slots: float, now: Seconds) -> float:
         """Return the cost that all slots complete a second."""
         return max(1.0, slots) * self._efficiency(now)
--- a/src/amaranthferry/granting.py
+++ b/src/amaranthferry/granting.py
@@ -83,6 +83,7 @@
     """Add a waiter to the objective queue, or refuse it if it would expire there."""
     request = waiter.request
     coordinator.minimum_shares.record_arrival(waiter.rank[:2], waiter.cost)
+    coordinator.forecast.record_arrival(waiter.rank[:2], waiter.cost, now)
     prefill = fastest_service_time(coordinator.servers.values(), request, 0) or 0.0
     objective = request.objective if request.objective else request.remaining
     expires_at = _last_start(coordinator, waiter, now)
@@ -96,7 +97,6 @@
         expires_at=expires_at,
         latest_start=now + objective - prefill,
     )
-    coordinator.forecast.record_arrival(waiter.rank[:2], waiter.cost, now)
     return []
 
 
@@ -343,6 +343,7 @@
 ) -> Effect:
     coordinator.fair_share.refund(waiter.request, waiter.cost)
     coordinator.quotas.refund(waiter.request.workspace, waiter.request.quota_cost, now)
+    coordinator.forecast.record_refusal(waiter.rank[:2], waiter.cost, now)
     if reason is RefusalReason.NO_SERVER:
         retry_after = NO_SERVER_RETRY
     else:
--- a/tests/test_forecast.py
+++ b/tests/test_forecast.py
@@ -28,7 +28,7 @@
     return [(m.request_id, m.server) for m in messages if isinstance(m, PermitGrant)]
 
 
-def forecast_under_load(*, arrivals=0.0, elapsed=1.0, seconds=6.0):
+def forecast_under_load(*, arrivals=0.0, refused=0.0, elapsed=1.0, seconds=6.0):
     """Return a forecast after arrivals of so much cost a second, and the time.
 
     Each second of work has occupied a slot for `elapsed` seconds.
@@ -37,6 +37,7 @@
     for step in range(int(seconds * 20)):
         now = step / 20
         forecast.record_arrival(LEVEL, arrivals / 20, now)
+        forecast.record_refusal(LEVEL, refused / 20, now)
         forecast.record_completion(0.2, 0.2 * elapsed, now)
     return forecast, seconds
 
@@ -81,6 +82,14 @@
     assert expected(forecast, now, level=LOWER) > 1.5 * expected(forecast, now)
 
 
+def test_urgent_work_that_is_refused_does_not_delay_lower_work():
+    refusing, now = forecast_under_load(arrivals=40.0, refused=38.0)
+    serving, _ = forecast_under_load(arrivals=2.0)
+    assert expected(refusing, now, level=LOWER) == pytest.approx(
+        expected(serving, now, level=LOWER)
+    )
+
+
 def test_wait_grows_with_fewer_slots():
     forecast, now = forecast_under_load(arrivals=1.0)
     assert expected(forecast, now, slots=2) > expected(forecast, now, slots=4)
