Rest readiness on the budget of age alone

Hosts stopped taking new connections at 0.6 of the bound on revoked keys, a figure of a rule on what is counted. The budget's bound, which is at most 0.4 of it, already decides in every deployment; callers are served up to the bound on admission either way. Now the budget decides, and never more than admission.

--- a/src/amaranthferry/replica/statements.py
+++ b/src/amaranthferry/replica/statements.py
@@ -12,8 +12,6 @@
 
 #: Allowance for a store that answers from a state slightly older than the call.
 STALENESS_SLACK: Seconds = 0.6
-#: Fraction of the bound on revoked keys after which others should get new connections.
-READY_FRACTION = 0.6
 
 
 class Statement(Enum):
@@ -43,6 +41,5 @@
 def _age_limit(statement: Statement, budget: AgeBudget, revoke: Seconds) -> Seconds:
     if statement in DENIALS:
         return budget.denial_age
-    if statement is Statement.READY:
-        return min(budget.bound, revoke * READY_FRACTION)
-    return revoke - STALENESS_SLACK
+    admission = revoke - STALENESS_SLACK
+    return min(budget.bound, admission) if statement is Statement.READY else admission
