Let late callers with the least time left go first among themselves

Callers saw: once past their objectives, requests of a level were served in the order of objectives that no longer mattered, while one with little time left waited behind one with much. Cause: the place of a late waiter kept its latest start for the objective; now it is the last moment at which it can be served.

--- a/src/amaranthferry/objectives.py
+++ b/src/amaranthferry/objectives.py
@@ -1,8 +1,8 @@
 """Order and place work by the latency objective of each request's route.
 
-This is for engines that are overloaded by requests of different kinds. An answer is
-worth most within its objective and little after it, so work that can still meet its
-objective goes before work of the same level that can't, and late work is refused early.
+This is for engines that are overloaded by requests of different kinds. The objective is
+what the operator states that callers need, so work that can still meet it goes before work
+of the same level that can't; among the rest, who has the least time left goes first.
 """
 
 import heapq
@@ -38,6 +38,8 @@
 
 
 class _Position(NamedTuple):
+    """Order waiters; `latest_start` is for the objective, or for any answer if late."""
+
     tier: int
     work_class: int
     late: bool
@@ -126,9 +128,8 @@
         request_id = waiter.request.request_id
         late = latest_start < waiter.arrived
         rank = waiter.rank
-        position = _Position(
-            rank.tier, rank.work_class, late, latest_start, rank.sequence
-        )
+        start = expires_at if late else latest_start
+        position = _Position(rank.tier, rank.work_class, late, start, rank.sequence)
         self._waiters[request_id] = waiter
         self._ids[rank.sequence] = request_id
         self._expires_at[request_id] = expires_at
@@ -175,7 +176,10 @@
             request_id = self._ids[self._timely[0][1]]
             position = self._positions[request_id]
             self._discard(position)
-            self._insert(request_id, position._replace(late=True))
+            expires_at = self._expires_at[request_id]
+            self._insert(
+                request_id, position._replace(late=True, latest_start=expires_at)
+            )
             demoted.append(self._waiters[request_id])
         return demoted
 
--- a/tests/test_forecast.py
+++ b/tests/test_forecast.py
@@ -273,3 +273,25 @@
     short.request("r")
     # The slot becomes free when the request that runs has ended.
     assert 0 < refusal(short, "r").retry_after < 2.0
+
+
+def test_late_waiter_with_the_least_time_left_does_not_wait_behind_others():
+    coordinator = make_coordinator(servers=1, slots=1)
+    ((name, server),) = fill(coordinator, 1).items()
+    for waiter, objective, patience in [
+        ("roomy", 0.5, 9.0),
+        ("pressed", 0.9, 3.0),
+        ("already-late", -1.0, 5.0),
+    ]:
+        request = permit_request(
+            waiter, objective=objective, remaining=10.0, patience=patience
+        )
+        send(coordinator, request, 0.1)
+    tick(coordinator, 1.5)
+    order = []
+    for step in range(3):
+        now = 2.0 + step / 10
+        ((name, server),) = grants(send(coordinator, release(name, server), now))
+        order.append(name)
+        send(coordinator, PermitProgress(name, SHARD, server, 0.01, 1, 0.01), now)
+    assert order == ["pressed", "already-late", "roomy"]
