--- a/src/amaranthferry/arrivals.py
+++ b/src/amaranthferry/arrivals.py
@@ -31,8 +31,8 @@
 
     `share` is this kind's share of the workload's cost, not of its requests.
     `deadline_factor` sets an absolute deadline as a multiple of the trace's duration.
-    Work with an objective earns most if its first token is within it, and its callers
-    may come back after a refusal; their requests belong to one of `workspace_count`.
+    The callers of work with an objective may come back after a refusal; their requests
+    belong to one of `workspace_count`.
     """
 
     workspace: WorkspaceId
@@ -51,7 +51,6 @@
     prefix_count: int = 0
     prefix_tokens: Tokens = 0
     objective: Seconds = 0.0
-    worth: float = 1.0
     retries: int = 0
     workspace_count: int = 1
 
@@ -93,7 +92,6 @@
     prefix: str = ""
     prefix_tokens: Tokens = 0
     objective: Seconds = 0.0
-    worth: float = 1.0
     retries: int = 0
 
     @property
@@ -243,6 +241,5 @@
         prefix=f"{kind.work_class}-{number}" if kind.prefix_count else "",
         prefix_tokens=min(prompt, round(kind.prefix_tokens * scale)),
         objective=kind.objective,
-        worth=kind.worth,
         retries=kind.retries,
     )
--- a/src/amaranthferry/bench.py
+++ b/src/amaranthferry/bench.py
@@ -22,10 +22,10 @@
     policy_names,
 )
 from .bench_inversions import count_inversions
+from .bench_kinds import KindResult, measure_kinds, measure_workspaces
 from .bench_oracle import oracle_count
 from .bench_policies import BASELINES
 from .bench_simulation import Dispatcher, Fault, Record, RequestStatus, Simulation
-from .bench_worth import KindResult, measure_kinds, measure_workspaces
 from .config import BackendServer
 from .exceptions import AmaranthferryError
 from .types import (
