Hold no work for servers that take none

Callers saw: a request that could meet its objective only at a server that is leaving, backed off or drained waited beside free servers until its objective had passed. Cause: a waiter that isn't late went only where it is expected to be in time, and its latest start was by the fastest server of all. Now it is held as long as a server that takes work, and is busy, could still be in time.

test_waiter_is_not_held_for_a_server_that_takes_no_work fails before; two more cases keep the hold and its end.

--- a/src/amaranthferry/objectives.py
+++ b/src/amaranthferry/objectives.py
@@ -289,7 +289,10 @@
         self._now = now
         self._limits = limits
         self._lengths = lengths
-        self._ready = [r for r in records if r.accepts_work and self._free_slots(r) > 0]
+        accepting = [record for record in records if record.accepts_work]
+        self._ready = [r for r in accepting if self._free_slots(r) > 0]
+        ready = set(map(id, self._ready))
+        self._busy = [record for record in accepting if id(record) not in ready]
 
     @property
     def has_free_slots(self) -> bool:
@@ -339,7 +342,8 @@
     ) -> Prediction | None:
         """Return the best server for a waiter, or None while it has to wait.
 
-        A waiter that isn't late only goes where it is expected to meet its objective.
+        A waiter that isn't late only goes where it is expected to meet its objective, as
+        long as a server that is busy now could still do so.
         """
         request, now = waiter.request, self._now
         policy = self._limits.policy
@@ -353,9 +357,22 @@
         ]
         if not late and request.objective > 0:
             due = waiter.arrived + request.objective
-            predictions = [item for item in predictions if item.first_token_at <= due]
+            timely = [item for item in predictions if item.first_token_at <= due]
+            if timely or self._may_be_timely(waiter, due):
+                predictions = timely
         return min(
             predictions,
             key=lambda item: cautious_cost(item, request, now, caution),
             default=None,
         )
+
+    def _may_be_timely(self, waiter: Waiter, due: Seconds) -> bool:
+        """Return whether a server that is busy now could meet an objective once free."""
+        request = waiter.request
+        return any(
+            record.serves(request)
+            and max(self._now, record.blocked_until)
+            + request.prompt_tokens / record.speed.prefill_rate
+            <= due
+            for record in self._busy
+        )
--- a/tests/test_objectives.py
+++ b/tests/test_objectives.py
@@ -342,3 +342,32 @@
     ticks = [tick(coordinator, 0.05 * number) for number in range(1, 61)]
     notices = sum(isinstance(m, PermitQueued) for messages in ticks for m in messages)
     assert count * 3.0 / 3.5 <= notices <= 600 * 3.0 + count
+
+
+def test_waiter_is_not_held_for_a_server_that_takes_no_work():
+    coordinator = make_coordinator(servers=2, slots=1)
+    fast, slow = coordinator.servers.values()
+    fast.set_enabled(False)
+    slow.speed.observe_prefill(2_000_000, 20_000.0)
+    request = permit_request("waits", prompt=1_000, objective=1.0)
+    assert granted(send(coordinator, request, 0.02)) == ["waits"]
+
+
+def test_waiter_is_held_for_a_busy_server_that_can_meet_its_objective():
+    coordinator = make_coordinator(servers=2, slots=1)
+    ((name, server),) = fill(coordinator, 1).items()
+    (slow,) = [r for r in coordinator.servers.values() if r.cfg.name != server]
+    slow.speed.observe_prefill(2_000_000, 20_000.0)
+    request = permit_request("waits", prompt=1_000, objective=1.0)
+    assert granted(send(coordinator, request, 0.02)) == []
+    assert granted(send(coordinator, release(name, server), 0.3)) == ["waits"]
+
+
+def test_waiter_is_not_held_beyond_the_moment_at_which_a_busy_server_could_be_in_time():
+    coordinator = make_coordinator(servers=2, slots=1)
+    ((_, server),) = fill(coordinator, 1).items()
+    (slow,) = [r for r in coordinator.servers.values() if r.cfg.name != server]
+    slow.speed.observe_prefill(2_000_000, 20_000.0)
+    send(coordinator, permit_request("waits", prompt=1_000, objective=1.0), 0.02)
+    assert granted(tick(coordinator, 0.85)) == []
+    assert granted(tick(coordinator, 0.95)) == ["waits"]
