Judge recovery from disruptions by callers answered in time

Bounds of recovery and calm (3 s, 0.9) stay, on the new count.

The tables of CAPACITY.md are of the earlier measure.

--- a/src/amaranthferry/control_overload.py
+++ b/src/amaranthferry/control_overload.py
@@ -127,8 +127,6 @@
     share: float
     objective: Seconds
     timeout: Seconds
-    worth: float
-    late_worth: float
     prompt_tokens: Tokens
     output_tokens: Tokens
     spread: float
@@ -143,8 +141,6 @@
         share=0.32,
         objective=1.0,
         timeout=15.0,
-        worth=6.0,
-        late_worth=1.7,
         prompt_tokens=6_600,
         output_tokens=380,
         spread=0.7,
@@ -155,8 +151,6 @@
         share=0.2,
         objective=0.5,
         timeout=12.0,
-        worth=2.2,
-        late_worth=0.65,
         prompt_tokens=630,
         output_tokens=290,
         spread=0.7,
@@ -169,8 +163,6 @@
         share=0.48,
         objective=0.6,
         timeout=3.0,
-        worth=0.27,
-        late_worth=0.08,
         prompt_tokens=1_800,
         output_tokens=22,
         spread=0.7,
@@ -231,8 +223,11 @@
         return self.ends_at + self.after
 
 
-class Earned(msgspec.Struct, frozen=True):
-    """Report the part of the worth that was earned, in all and by kind."""
+class InTime(msgspec.Struct, frozen=True):
+    """Report the part of the callers answered in time, in all and by kind.
+
+    In time is a whole answer whose first token came within the objective.
+    """
 
     total: float
     kinds: dict[str, float]
@@ -241,14 +236,14 @@
 class OverloadResult(msgspec.Struct, frozen=True, kw_only=True):
     """Report the outcome of one case.
 
-    `recovery` is the time from the end of the disruption until the earned part stays
-    at nine tenths of the calm one. `own` counts at servers what hosts decided without
+    `recovery` is the time from the end of the disruption until the part answered in
+    time stays at nine tenths of the calm one. `own` counts at servers what hosts decided without
     the coordinator's role: the most at one server, and at all of them at once.
     """
 
-    calm: Earned
-    disrupted: Earned
-    after: Earned
+    calm: InTime
+    disrupted: InTime
+    after: InTime
     recovery: Seconds | None
     slots: int
     server_peak: int
@@ -280,13 +275,12 @@
     def deadline(self) -> Seconds:
         return self.sent + self.kind.timeout
 
-    def earned(self) -> float:
-        """Return the worth that the answer has earned."""
+    @property
+    def in_time(self) -> bool:
+        """Return whether the whole answer came, and began within the objective."""
         if self.finished is None or self.first_token is None:
-            return 0.0
-        if self.first_token - self.sent <= self.kind.objective:
-            return self.kind.worth
-        return self.kind.late_worth
+            return False
+        return self.first_token - self.sent <= self.kind.objective
 
 
 class _Attempt(msgspec.Struct, eq=False, kw_only=True):
@@ -851,26 +845,26 @@
 
     # Results.
 
-    def earned(self, since: Seconds, until: Seconds) -> Earned:
-        """Return what the requests of a time have earned."""
-        owed: Counter[str] = Counter()
-        paid: Counter[str] = Counter()
+    def in_time(self, since: Seconds, until: Seconds) -> InTime:
+        """Return which part of the requests of a time were answered in time."""
+        sent: Counter[str] = Counter()
+        answered: Counter[str] = Counter()
         for call in self.calls:
             if since <= call.sent < until:
-                owed[call.kind.name] += call.kind.worth  # type: ignore[assignment]
-                paid[call.kind.name] += call.earned()  # type: ignore[assignment]
+                sent[call.kind.name] += 1
+                answered[call.kind.name] += call.in_time
         kinds = {
-            kind.name: paid[kind.name] / max(1e-9, owed[kind.name]) for kind in KINDS
+            kind.name: answered[kind.name] / max(1, sent[kind.name]) for kind in KINDS
         }
-        return Earned(paid.total() / max(1e-9, owed.total()), kinds)
+        return InTime(answered.total() / max(1, sent.total()), kinds)
 
     def recovery(self, calm: float) -> Seconds | None:
-        """Return how long after the disruption the calm share is earned again."""
+        """Return how long after the disruption as many as before are in time again."""
         steps = int((self.case.after - WINDOW) / WINDOW_STEP)
         recovered: Seconds | None = None
         for step in range(steps + 1):
             since = self.case.ends_at + step * WINDOW_STEP
-            share = self.earned(since, since + WINDOW).total
+            share = self.in_time(since, since + WINDOW).total
             if share < RECOVERED_SHARE * calm:
                 recovered = None
             elif recovered is None:
@@ -880,11 +874,11 @@
     def result(self) -> OverloadResult:
         """Return the outcome of a case that has run to its end."""
         case = self.case
-        calm = self.earned(WARM_UP, case.starts_at)
+        calm = self.in_time(WARM_UP, case.starts_at)
         return OverloadResult(
             calm=calm,
-            disrupted=self.earned(case.starts_at, case.ends_at),
-            after=self.earned(case.ends_at, case.counted_until),
+            disrupted=self.in_time(case.starts_at, case.ends_at),
+            after=self.in_time(case.ends_at, case.counted_until),
             recovery=self.recovery(calm.total),
             slots=SLOTS,
             server_peak=self.server_peak,
@@ -921,7 +915,7 @@
 def format_overload(cases: Iterable[OverloadCase]) -> str:
     """Run each case and return a Markdown table."""
     lines = [
-        "| hosts | servers | disruption | earned, calm | disrupted | large, medium, small"
+        "| hosts | servers | disruption | in time, calm | disrupted | large, medium, small"
         " | after | recovery, s | most at a server | own, most at one, sum (slots)"
         " | rejected | messages a request | lateness, s | stand-ins, fallbacks |",
         "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |",
