--- a/src/amaranthferry/effects.py
+++ b/src/amaranthferry/effects.py
@@ -149,6 +149,23 @@
     first_token_seen: bool
 
 
+class ReportForecast(Effect, frozen=True):
+    """Report the forecast on which a coordinator refuses a request.
+
+    `expected` is the wait by the forecast, `least` one that few waits are below, and
+    `left` the time until the request can't be served any more; `age` is the time since
+    it was queued, and `late` tells whether it could still meet its objective.
+    """
+
+    shard: ShardId
+    request_id: RequestId
+    expected: Seconds
+    least: Seconds
+    left: Seconds
+    age: Seconds
+    late: bool
+
+
 class ReportFallbackStart(Effect, frozen=True):
     """Report that another decider than before decides on this host's permits.
 
--- a/src/amaranthferry/gateway/decisions.py
+++ b/src/amaranthferry/gateway/decisions.py
@@ -10,6 +10,7 @@
     ReportBackoff,
     ReportFallbackEnd,
     ReportFallbackStart,
+    ReportForecast,
     ReportHold,
     ReportReturn,
     ReportSignal,
@@ -96,6 +97,20 @@
     )
 
 
+def log_forecast(effect: ReportForecast) -> None:
+    """Log the forecast on which a request is refused; the refusal follows."""
+    _log.info(
+        LogEvent.PERMIT_FORECAST,
+        request_id=effect.request_id,
+        shard=effect.shard,
+        expected=round(effect.expected, 3),
+        least=round(effect.least, 3),
+        left=round(effect.left, 3),
+        age=round(effect.age, 3),
+        late=effect.late,
+    )
+
+
 def _time_queued(permit: Permit) -> Seconds:
     """Return how long a request waited here, without the way of its messages."""
     queued_at = permit.deadline - permit.request.remaining
--- a/src/amaranthferry/gateway/log_events.py
+++ b/src/amaranthferry/gateway/log_events.py
@@ -109,4 +109,6 @@
     PERMIT_RETURNED = "permit.returned"
     # request_id, shard, server, asker, age, first_token_seen, skipped
     PERMIT_UNLISTED = "permit.unlisted"
+    # request_id, shard, expected, least, left, age, late
+    PERMIT_FORECAST = "permit.forecast"
     PERMIT_REFUSED = "permit.refused"  # request_id, asker, reason, queue, slots, known
--- a/src/amaranthferry/gateway/performer.py
+++ b/src/amaranthferry/gateway/performer.py
@@ -18,6 +18,7 @@
     ReportBackoff,
     ReportFallbackEnd,
     ReportFallbackStart,
+    ReportForecast,
     ReportHold,
     ReportReturn,
     ReportSignal,
@@ -49,6 +50,7 @@
     log_decision,
     log_fallback_end,
     log_fallback_start,
+    log_forecast,
     log_hold,
     log_part,
     log_return,
@@ -158,6 +160,11 @@
     performer.backoffs.record(effect, performer.app.clock())
 
 
+@_perform.register
+def _(effect: ReportForecast, performer: Performer) -> None:
+    log_forecast(effect)
+
+
 @_perform.register
 def _(effect: ReportUnlistedPermit, performer: Performer) -> None:
     performer.unlisted_permits.record(effect, performer.app.clock())
--- a/src/amaranthferry/granting.py
+++ b/src/amaranthferry/granting.py
@@ -3,7 +3,7 @@
 from collections.abc import Collection, Iterable
 
 from .coordinator import MAX_PREDICTED_WAIT, Coordinator
-from .effects import Effect, ReportHold, ReportTrial, SendToHost
+from .effects import Effect, ReportForecast, ReportHold, ReportTrial, SendToHost
 from .forecast import Wait
 from .harm.ledger import Hold
 from .harm.subjects import HOLD_REASONS
@@ -186,12 +186,32 @@
             waiter.forecast, waiter.forecast_at = forecast, now
         if waiter.request.may_have_run:
             continue
-        if forecast.least > queue.expires_at(request_id) - now:
+        left = queue.expires_at(request_id) - now
+        if forecast.least > left:
             queue.remove(request_id)
+            effects.append(_report(coordinator, waiter, forecast, left, now))
             effects.append(_refuse(coordinator, waiter, RefusalReason.DEADLINE, now))
     return effects
 
 
+def _report(
+    coordinator: Coordinator,
+    waiter: Waiter,
+    forecast: Wait,
+    left: Seconds,
+    now: Seconds,
+) -> Effect:
+    return ReportForecast(
+        shard=coordinator.shard,
+        request_id=waiter.request.request_id,
+        expected=min(MAX_PREDICTED_WAIT, forecast.expected),
+        least=min(MAX_PREDICTED_WAIT, forecast.least),
+        left=left,
+        age=now - waiter.arrived,
+        late=forecast.late,
+    )
+
+
 def _forecast(
     coordinator: Coordinator,
     queue: ObjectiveQueue,
--- a/src/amaranthferry/performer.py
+++ b/src/amaranthferry/performer.py
@@ -18,6 +18,7 @@
     ReportBackoff,
     ReportFallbackEnd,
     ReportFallbackStart,
+    ReportForecast,
     ReportHold,
     ReportReturn,
     ReportSignal,
@@ -91,6 +92,17 @@
     _log.info("server backed off", server=effect.server, duration=effect.duration)
 
 
+@_perform.register
+def _(effect: ReportForecast, performer: Performer) -> None:
+    _log.info(
+        "refused on a forecast",
+        request_id=effect.request_id,
+        expected=effect.expected,
+        least=effect.least,
+        left=effect.left,
+    )
+
+
 @_perform.register
 def _(effect: ReportUnlistedPermit, performer: Performer) -> None:
     _log.info(
--- a/tests/test_forecast.py
+++ b/tests/test_forecast.py
@@ -5,12 +5,16 @@
 import pytest
 
 from amaranthferry import granting
+from amaranthferry.coordinator_reducer import reduce
+from amaranthferry.effects import ReportForecast
+from amaranthferry.events import PeerReceived
 from amaranthferry.forecast import Ahead, Forecast, Wait
 from amaranthferry.messages import PermitGrant, PermitProgress, PermitRefusal
 from tests.scheduling import Session, server
 
 from .test_minimum_share import Overload
 from .test_objectives import (
+    HOST,
     SHARD,
     fill,
     make_coordinator,
@@ -217,6 +221,17 @@
     assert early.mean_refusal_delay(1) < 0.5 * baseline.mean_refusal_delay(1)
 
 
+def test_refusal_on_a_forecast_tells_its_inputs():
+    coordinator = LoadSimulation(25.0, seconds=8.0).coordinator
+    request = permit_request("first", objective=-1.0, patience=4.0)
+    asked = PeerReceived(now=8.0, sender=HOST, message=request)
+    (report,) = [e for e in reduce(coordinator, asked) if isinstance(e, ReportForecast)]
+    assert report.request_id == "first"
+    assert report.expected >= report.least > report.left > 0
+    assert report.late
+    assert report.age == 0.0
+
+
 def test_load_within_capacity_is_never_refused():
     assert LoadSimulation(8.0).refusal_delays == [[]]
 
