Forget measured speeds before their sums underflow

Found on reading the new forecast: after some three hours without a completion the decayed sums of cost and time lose their precision one after the other, and the expected run time divides by 0, which would end the process with the next request. Speeds now count as unknown before.

test_idle_hours_end_in_no_error fails before (a run time of 5 s and more for 1 s of work, then ZeroDivisionError).

--- a/src/amaranthferry/forecast.py
+++ b/src/amaranthferry/forecast.py
@@ -20,6 +20,9 @@
 MARGIN_DEVIATIONS = 2.0
 #: Weight of earlier samples, as a fraction of a new one, below which they are forgotten.
 MIN_WEIGHT = 0.01
+#: Decayed completions below which their speed counts as unknown; far smaller sums lose
+#: their precision.
+MIN_COMPLETIONS = 1e-100
 
 
 #: Tier rank and class rank; the lowest level goes first.
@@ -128,7 +131,8 @@
     def turn_time(self, cost: Seconds, slots: float, now: Seconds) -> Seconds:
         """Return the mean time until the next of the busy slots becomes free."""
         completions = self._completions.value(now)
-        run = self._elapsed.value(now) / completions if completions > 0 else cost
+        known = completions >= MIN_COMPLETIONS
+        run = self._elapsed.value(now) / completions if known else cost
         return run / max(1.0, slots)
 
     def drain(
@@ -195,8 +199,9 @@
         return max(1.0, slots) * self._efficiency(now)
 
     def _efficiency(self, now: Seconds) -> float:
-        elapsed = self._elapsed.value(now)
-        return self._cost.value(now) / elapsed if elapsed > 0 else 1.0
+        if self._completions.value(now) < MIN_COMPLETIONS:
+            return 1.0
+        return self._cost.value(now) / self._elapsed.value(now)
 
 
 class Ahead(msgspec.Struct, frozen=True):
--- a/tests/test_forecast.py
+++ b/tests/test_forecast.py
@@ -60,6 +60,17 @@
     assert expected(forecast, now + 300.0, cost=20.0) == pytest.approx(10.0)
 
 
+def test_idle_hours_end_in_no_error():
+    forecast = Forecast(0.1)
+    forecast.record_completion(0.2, 0.7, 0.0)
+    # Sums that decay for some three hours lose their precision, and then all of it.
+    for now in range(11_100, 11_200):
+        assert 0 < forecast.run_time(1.0, now) < 5.0
+        assert 0 < forecast.turn_time(1.0, 4, now) < 1.0
+        wait = forecast.wait(LEVEL, Ahead(0.0, 4.0), now, slots=4)
+        assert 0 <= wait.least <= wait.expected < 5.0
+
+
 def test_late_work_waits_long_under_overload():
     forecast, now = forecast_under_load(arrivals=6.0)
     assert expected(forecast, now, late=True) > 4.0
