Judge by the prefill what can't be answered any more

Found on reading the new waits, before any caller saw it: work was refused at once beside a free slot if its expected length didn't fit its caller's time, though lengths are often far off; a broken stream was given up if its whole answer didn't fit, though only the rest was left; and each request summed the slots of all servers twice. Cause: the last start took the expected run time for certain, and for what had already been answered.

--- a/src/amaranthferry/granting.py
+++ b/src/amaranthferry/granting.py
@@ -84,9 +84,9 @@
     request = waiter.request
     coordinator.minimum_shares.record_arrival(waiter.rank[:2], waiter.cost)
     coordinator.forecast.record_arrival(waiter.rank[:2], waiter.cost, now)
-    prefill = fastest_service_time(coordinator.servers.values(), request, 0) or 0.0
+    prefill = _prefill_time(coordinator, waiter)
     objective = request.objective if request.objective else request.remaining
-    expires_at = _last_start(coordinator, waiter, now)
+    expires_at = _last_start(coordinator, waiter, prefill, now)
     if expires_at <= now:
         return [_refuse(coordinator, waiter, RefusalReason.DEADLINE, now)]
     opens_at = _opens_at(coordinator, waiter)
@@ -100,18 +100,27 @@
     return []
 
 
-def _last_start(coordinator: Coordinator, waiter: Waiter, now: Seconds) -> Seconds:
+def _prefill_time(coordinator: Coordinator, waiter: Waiter) -> Seconds:
+    servers = coordinator.servers.values()
+    return fastest_service_time(servers, waiter.request, 0) or 0.0
+
+
+def _last_start(
+    coordinator: Coordinator, waiter: Waiter, prefill: Seconds, now: Seconds
+) -> Seconds:
     """Return when a server has to begin, for an answer in its caller's time.
 
-    Work that only the fastest server could end in time, if idle, gets one turn.
+    Lengths are only expected, so work that isn't likely to end in time gets one turn if
+    its prefill does. How much is left of what may have run isn't known.
     """
     request, forecast = waiter.request, coordinator.forecast
-    prefill = fastest_service_time(coordinator.servers.values(), request, 0) or 0.0
-    patience = request.patience or request.remaining
-    expected = waiter.deadline - forecast.run_time(waiter.cost, now)
-    turn = now + forecast.turn_time(waiter.cost, coordinator.slots(), now)
-    last = min(max(expected, turn), waiter.deadline - waiter.cost)
-    return min(now + patience - prefill, last)
+    first_event = min(now + (request.patience or request.remaining), waiter.deadline)
+    if request.may_have_run:
+        return first_event
+    last = waiter.deadline - forecast.run_time(waiter.cost, now)
+    if last <= now:
+        last = now + forecast.turn_time(waiter.cost, coordinator.slots(), now)
+    return min(last, first_event - prefill)
 
 
 def _refuse_beyond_limits(
@@ -132,7 +141,8 @@
     if not rate or waiter.request.may_have_run:
         return None
     wait = max(0, coordinator.queue.count_before(waiter) + 1 - available) / rate
-    if wait <= _last_start(coordinator, waiter, now) - now:
+    prefill = _prefill_time(coordinator, waiter)
+    if wait <= _last_start(coordinator, waiter, prefill, now) - now:
         return None
     latest = waiter.deadline - waiter.cost - now
     retry_after = coordinator.return_times.book(
