--- a/src/amaranthferry/granting.py
+++ b/src/amaranthferry/granting.py
@@ -110,8 +110,8 @@
 ) -> Seconds:
     """Return when a server has to begin, for an answer in its caller's time.
 
-    Lengths are only expected, so work that isn't likely to end in time gets one turn if
-    its prefill does. How much is left of what may have run isn't known.
+    Work that isn't expected to end in time gets one turn if a short answer would, since
+    lengths vary. How much is left of what may have run isn't known.
     """
     request, forecast = waiter.request, coordinator.forecast
     first_event = min(now + (request.patience or request.remaining), waiter.deadline)
@@ -119,7 +119,10 @@
         return first_event
     last = waiter.deadline - forecast.run_time(waiter.cost, now)
     if last <= now:
-        last = now + forecast.turn_time(waiter.cost, coordinator.slots(), now)
+        decode = max(0.0, waiter.cost - prefill)
+        shortest = prefill + decode * coordinator.lengths.shortest_ratio(request)
+        turn = forecast.turn_time(waiter.cost, coordinator.slots(), now)
+        last = min(now + turn, waiter.deadline - shortest)
     return min(last, first_event - prefill)
 
 
@@ -156,24 +159,26 @@
 def refuse_new(
     coordinator: Coordinator, requests: Iterable[PermitRequest], now: Seconds
 ) -> list[Effect]:
-    """Refuse the requests that have just been queued in vain, after a pass over it."""
+    """Refuse the newly queued requests that are expected to expire before a slot is free."""
     queue = coordinator.queue
     if not isinstance(queue, ObjectiveQueue):
         return []
     waiters = [queue.get(request.request_id) for request in requests]
     new = [waiter for waiter in waiters if waiter and not waiter.forecast_at]
-    return _refuse_hopeless(coordinator, queue, new, now)
+    return _refuse_unservable(coordinator, queue, new, now)
 
 
 def review(coordinator: Coordinator, now: Seconds) -> list[Effect]:
-    """Renew the forecasts of some waiters in rotation, and refuse what waits in vain."""
+    """Renew some forecasts in rotation, and refuse what is now expected to expire."""
     queue = coordinator.queue
     if not isinstance(queue, ObjectiveQueue):
         return []
-    return _refuse_hopeless(coordinator, queue, queue.next_to_review(MAX_REVIEWED), now)
+    return _refuse_unservable(
+        coordinator, queue, queue.next_to_review(MAX_REVIEWED), now
+    )
 
 
-def _refuse_hopeless(
+def _refuse_unservable(
     coordinator: Coordinator,
     queue: ObjectiveQueue,
     waiters: Collection[Waiter],
@@ -199,12 +204,12 @@
         left = queue.expires_at(request_id) - now
         if forecast.least > left:
             queue.remove(request_id)
-            effects.append(_report(coordinator, waiter, forecast, left, now))
+            effects.append(_forecast_report(coordinator, waiter, forecast, left, now))
             effects.append(_refuse(coordinator, waiter, RefusalReason.DEADLINE, now))
     return effects
 
 
-def _report(
+def _forecast_report(
     coordinator: Coordinator,
     waiter: Waiter,
     forecast: Wait,
@@ -364,7 +369,7 @@
         effects.append(_refuse(coordinator, waiter, RefusalReason.DEADLINE, now))
     queue = coordinator.queue
     if isinstance(queue, ObjectiveQueue):
-        effects += _refuse_hopeless(coordinator, queue, queue.demote(now), now)
+        effects += _refuse_unservable(coordinator, queue, queue.demote(now), now)
     return effects
 
 
--- a/src/amaranthferry/lengths.py
+++ b/src/amaranthferry/lengths.py
@@ -33,6 +33,12 @@
         ratio = stats.mean + MARGIN_DEVIATIONS * stats.deviation
         return max(1, round(request.output_tokens * ratio))
 
+    def shortest_ratio(self, request: PermitRequest) -> float:
+        """Return a fraction of the expected length that few answers stay below."""
+        stats = self._stats_of(request)
+        shortest = stats.mean - MARGIN_DEVIATIONS * stats.deviation
+        return max(0.0, shortest / stats.mean) if stats.mean > 0 else 0.0
+
     def observe(self, request: PermitRequest, output: Tokens) -> None:
         """Record the output tokens of a complete answer."""
         key = (request.workspace, request.class_rank)
--- a/tests/test_lengths.py
+++ b/tests/test_lengths.py
@@ -26,3 +26,14 @@
     for number in range(MAX_KEYS + 1):
         lengths.observe(permit_request("r", workspace=f"w{number}"), 500)
     assert lengths.expected(permit_request("r", workspace="w0")) == 50
+
+
+@pytest.mark.parametrize(
+    ("shortest", "longest", "ratio"), [(50, 50, 1.0), (5, 95, 0.0)]
+)
+def test_short_answer_is_as_much_shorter_as_lengths_vary(shortest, longest, ratio):
+    lengths = LengthEstimate()
+    for number in range(200):
+        lengths.observe(permit_request("r"), longest if number % 2 else shortest)
+    estimate = lengths.shortest_ratio(permit_request("r"))
+    assert estimate == pytest.approx(ratio, abs=0.15)
