Keep slots for work that could end in time alone

Of the form before, callers saw: work that could only end in time if its answer was short took slots from others, and mostly failed. The leniency towards short answers is for free slots that nothing waits for; where others wait, work that isn't expected to end in time gets one turn only if it would alone, on the fastest server.

test_request_does_not_take_a_slot_from_others_that_can_be_answered_in_time fails before; the case of a free slot stays.

--- a/src/amaranthferry/granting.py
+++ b/src/amaranthferry/granting.py
@@ -110,8 +110,9 @@
 ) -> Seconds:
     """Return when a server has to begin, for an answer in its caller's time.
 
-    Work that isn't expected to end in time gets one turn if a short answer would, since
-    lengths vary. How much is left of what may have run isn't known.
+    Work that isn't expected to end in time beside other work gets one turn if it would
+    alone; while slots are free and nothing waits, also if only a short answer would. How
+    much is left of what may have run isn't known.
     """
     request, forecast = waiter.request, coordinator.forecast
     first_event = min(now + (request.patience or request.remaining), waiter.deadline)
@@ -119,10 +120,12 @@
         return first_event
     last = waiter.deadline - forecast.run_time(waiter.cost, now)
     if last <= now:
-        decode = max(0.0, waiter.cost - prefill)
-        shortest = prefill + decode * coordinator.lengths.shortest_ratio(request)
-        turn = forecast.turn_time(waiter.cost, coordinator.slots(), now)
-        last = min(now + turn, waiter.deadline - shortest)
+        needed, slots = waiter.cost, coordinator.slots()
+        if not coordinator.queue and len(coordinator.permits) < slots:
+            decode = max(0.0, waiter.cost - prefill)
+            needed = prefill + decode * coordinator.lengths.shortest_ratio(request)
+        turn = forecast.turn_time(waiter.cost, slots, now)
+        last = min(now + turn, waiter.deadline - needed)
     return min(last, first_event - prefill)
 
 
