--- a/src/amaranthferry/gateway/edge.py
+++ b/src/amaranthferry/gateway/edge.py
@@ -37,6 +37,7 @@
 from .exchange import BufferedAnswer, RoutedExchange, TruncatedAnswer
 from .listener import FLOW_STATE, FlowState
 from .log_events import LogEvent
+from .patience import unread_patience
 
 if TYPE_CHECKING:
     from .application import Gateway
@@ -311,7 +312,7 @@
         has_room = asyncio.Event()
         self._room = self._memory.reserve(size, has_room.set)
         try:
-            patience = headers.unread_patience(left) - REFUSAL_TIME
+            patience = unread_patience(left) - REFUSAL_TIME
             async with asyncio.timeout(max(0.0, patience)):
                 await has_room.wait()
         except TimeoutError:
--- a/src/amaranthferry/gateway/patience.py
+++ b/src/amaranthferry/gateway/patience.py
@@ -15,6 +15,10 @@
 MEAN_WEIGHT = 1 / 8
 DEVIATION_WEIGHT = 1 / 4
 LATE_DEVIATIONS = 4.0
+#: Callers give up a request that hasn't been read after the shorter of these, as their
+#: interface states: a time, and a part of the time that they have left.
+MAX_UNREAD_TIME: Seconds = 1.0
+MAX_UNREAD_PART = 1 / 3
 
 
 class _Times(msgspec.Struct):
@@ -68,3 +72,8 @@
     """
     runs = max(1, route.max_attempts - dispatches + 1)
     return max(0.0, patience) / runs
+
+
+def unread_patience(left: Seconds) -> Seconds:
+    """Return how long a caller with some time left waits until its request is read."""
+    return min(MAX_UNREAD_TIME, left * MAX_UNREAD_PART)
--- a/src/amaranthferry/platform/headers.py
+++ b/src/amaranthferry/platform/headers.py
@@ -23,11 +23,6 @@
 LEAVING = "server-leaving"
 LIMIT = "server-limit"
 
-#: Callers give up a request that hasn't been read after the shorter of these: a time,
-#: and a part of the time that they have left.
-MAX_UNREAD_TIME: Seconds = 1.0
-MAX_UNREAD_PART = 1 / 3
-
 #: Headers that only the system may set, and hop-by-hop headers.
 _NOT_FORWARDED = frozenset(
     {
@@ -216,8 +211,3 @@
         misdirected=status == _MISDIRECTED_STATUS,
         failed=status >= _MIN_FAILURE_STATUS,
     )
-
-
-def unread_patience(left: Seconds) -> Seconds:
-    """Return how long a caller with some time left waits until its request is read."""
-    return min(MAX_UNREAD_TIME, left * MAX_UNREAD_PART)
