--- a/src/amaranthferry/gateway/application.py
+++ b/src/amaranthferry/gateway/application.py
@@ -49,6 +49,7 @@
 from .listener import Listener
 from .log_events import LogEvent
 from .operator_api import OperatorApi, answer
+from .options import HostOptions
 from .patience import AnswerTimes
 from .performer import Performer
 from .stopping import StopPlan
@@ -110,8 +111,11 @@
 
     _performer: Performer
 
-    def __init__(self, settings: HostSettings) -> None:
+    def __init__(
+        self, settings: HostSettings, options: HostOptions | None = None
+    ) -> None:
         self.settings = settings
+        self.options = options or HostOptions()
         self.clock = boot_time
         super().__init__(
             HostState(
@@ -176,9 +180,11 @@
         self._sequence = 0
 
     @classmethod
-    def from_config(cls, settings: HostSettings) -> Self:
-        """Build an entry host from its settings."""
-        return cls(settings)
+    def from_config(
+        cls, settings: HostSettings, options: HostOptions | None = None
+    ) -> Self:
+        """Build an entry host from its settings and the operator's options."""
+        return cls(settings, options)
 
     def _create_syncs(self) -> dict[str, StoreSync]:
         max_kept_bytes = self._memory_budget.kept_changes
--- a/src/amaranthferry/gateway/daemon.py
+++ b/src/amaranthferry/gateway/daemon.py
@@ -13,6 +13,7 @@
 from .application import Gateway
 from .log_events import LogEvent
 from .logs import set_up_logs
+from .options import HostOptions
 
 _log = structlog.get_logger(__name__)
 
@@ -20,8 +21,9 @@
 class Daemon:
     """Run one gateway as a process and handle its signals."""
 
-    def __init__(self, settings: HostSettings) -> None:
+    def __init__(self, settings: HostSettings, options: HostOptions) -> None:
         self._settings = settings
+        self._options = options
         self._stopping = asyncio.Event()
 
     async def run(self) -> None:
@@ -30,7 +32,7 @@
         loop.add_signal_handler(signal.SIGTERM, self._handle_stop)
         loop.add_signal_handler(signal.SIGINT, self._handle_stop)
         loop.add_signal_handler(signal.SIGHUP, self._handle_reload)
-        app = Gateway.from_config(self._settings)
+        app = Gateway.from_config(self._settings, self._options)
         try:
             await app.start()
             await self._stopping.wait()
@@ -52,8 +54,9 @@
     path = Path(os.environ.get(SETTINGS_VARIABLE, DEFAULT_PATH))
     try:
         settings = HostSettings.from_file(path)
+        options = HostOptions.from_arguments(sys.argv[1:])
     except SettingsError as exc:
         sys.stderr.write(f"{exc}\n")
         raise SystemExit(SettingsError.exit_code) from exc
     set_up_logs(settings.host)
-    asyncio.run(Daemon(settings).run())
+    asyncio.run(Daemon(settings, options).run())
--- a/src/amaranthferry/platform/settings.py
+++ b/src/amaranthferry/platform/settings.py
@@ -6,12 +6,13 @@
 import msgspec
 
 from ..exceptions import SettingsError
+from ..properties import Properties
 from ..types import HostId, Seconds, ZoneId
 
 SETTINGS_VARIABLE = "AMARANTHFERRY_SETTINGS"
 DEFAULT_PATH = "/etc/amaranthferry/settings.conf"
-MILLISECOND: Seconds = 0.001
 MEGABYTE = 1_000_000
+ROLLOUT_CONTRACT = "rollout"
 
 
 class Bounds(msgspec.Struct, frozen=True, kw_only=True):
@@ -29,6 +30,11 @@
     quota_window: Seconds
     quota_overage: float
     quota_slack: float
+    #: Requests that an unproven version of a service may get: a fraction, and a count.
+    exposure_share: float = 0.0
+    exposure_slack: float = 0.0
+    #: Time from the evidence that a version is bad until it gets no more requests.
+    rollback: Seconds = 0.0
 
 
 class HostSettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -46,6 +52,9 @@
     processor: float = 1.0
     link_mbps: float = 0.0
     memory: int = 0
+    max_descriptors: int = 0
+    #: Whether the operator may order rollouts of a service's versions.
+    rollouts: bool = False
 
     @classmethod
     def from_file(cls, path: Path) -> Self:
@@ -63,8 +72,7 @@
     @classmethod
     def from_text(cls, text: str, *, file: str = "") -> Self:
         """Build the settings from lines of the form key=value."""
-        lines = (line.partition("=") for line in text.splitlines() if "=" in line)
-        fields = _Fields({key.strip(): value.strip() for key, _, value in lines}, file)
+        fields = Properties.from_text(text, file=file)
         bounds = Bounds(
             drain=fields.milliseconds("bounds.drainMs", 2_000),
             grace=fields.number("bounds.graceS", 8),
@@ -78,6 +86,9 @@
             quota_window=fields.number("bounds.quotaWindowS", 8),
             quota_overage=fields.number("bounds.quotaOverage", 0),
             quota_slack=fields.number("bounds.quotaSlack", 0),
+            exposure_share=fields.number("bounds.exposureShare", 0),
+            exposure_slack=fields.number("bounds.exposureSlack", 0),
+            rollback=fields.milliseconds("bounds.rollbackMs", 5_000),
         )
         return cls(
             host=HostId(fields.text("nodeName")),
@@ -93,50 +104,6 @@
             * fields.number("limits.cpuCores", 1),
             link_mbps=fields.number("limits.linkMbps", 0),
             memory=int(fields.number("limits.memoryMb", 0) * MEGABYTE),
-        )
-
-
-class _Fields:
-    """Read typed values, naming the field in every error."""
-
-    def __init__(self, values: dict[str, str], file: str) -> None:
-        self._values = values
-        self._file = file
-
-    def text(self, name: str, default: str | None = None) -> str:
-        value = self._values.get(name, "")
-        if value:
-            return value
-        if default is None:
-            raise self._error(name, "is missing")
-        return default
-
-    def number(self, name: str, default: float) -> float:
-        value = self.text(name, str(default))
-        try:
-            return float(value)
-        except ValueError:
-            raise self._error(name, f"is {value!r}, not a number") from None
-
-    def milliseconds(self, name: str, default: float) -> Seconds:
-        return self.number(name, default) * MILLISECOND
-
-    def endpoint(self, name: str) -> str:
-        value = self.text(name)
-        ip, _, port = value.rpartition(":")
-        if not ip or not port.isdigit():
-            raise self._error(name, f"is {value!r}, not IP:PORT")
-        return value
-
-    def port_range(self, name: str) -> tuple[int, int]:
-        first, _, last = self.text(name).partition(",")
-        if not first.isdigit() or not last.isdigit():
-            raise self._error(name, "is not FIRST,LAST")
-        return int(first), int(last)
-
-    def _error(self, name: str, problem: str) -> SettingsError:
-        return SettingsError(
-            f"The field {name} {problem}.",
-            remedy="Have the platform set it correctly, and restart the process.",
-            file=self._file,
+            max_descriptors=int(fields.number("limits.maxFds", 0)),
+            rollouts=ROLLOUT_CONTRACT in fields.items("contracts"),
         )
