--- a/src/amaranthferry/catalog.py
+++ b/src/amaranthferry/catalog.py
@@ -280,8 +280,21 @@
     quota_slack: float = 0.0
 
 
+class PoolFeatures(msgspec.Struct, frozen=True, kw_only=True):
+    """Define which optional decisions the pools of a deployment make."""
+
+    shared_by_allowance: bool = False
+
+
+NO_FEATURES = PoolFeatures()
+
+
 def deployment_of(
-    catalog: Catalog, instances: dict[ServerId, Instance], budget_limits: BudgetLimits
+    catalog: Catalog,
+    instances: dict[ServerId, Instance],
+    budget_limits: BudgetLimits,
+    *,
+    features: PoolFeatures = NO_FEATURES,
 ) -> Deployment:
     """Compile a catalog and the live servers into a deployment."""
     pools = {name: _pool(service) for name, service in catalog.services.items()}
@@ -304,7 +317,7 @@
             for item in catalog.subscribers or ()
         },
         rules={
-            name: _rules(service, budget_limits)
+            name: _rules(service, budget_limits, features)
             for name, service in catalog.services.items()
         },
         incarnations={name: instances[name].incarnation for name in servers},
@@ -352,7 +365,9 @@
     return Quota(rate, burst, leeway, window, withheld, surge)
 
 
-def _rules(service: RoutedService, budget_limits: BudgetLimits) -> PoolRules:
+def _rules(
+    service: RoutedService, budget_limits: BudgetLimits, features: PoolFeatures
+) -> PoolRules:
     plain = service.engine is None
     return PoolRules(
         repeat_ratio=budget_limits.repeat_ratio,
@@ -360,6 +375,7 @@
         repeat_refill=budget_limits.repeat_refill,
         decided_locally=plain,
         by_objective=not plain,
+        shared_by_allowance=features.shared_by_allowance and not plain,
         notice_interval=0.0 if plain else NOTICE_INTERVAL,
         rebuild_timeout=REBUILD_TIMEOUT,
         orphan_timeout=ORPHAN_TIMEOUT,
--- a/src/amaranthferry/config.py
+++ b/src/amaranthferry/config.py
@@ -106,6 +106,8 @@
     repeat_refill: float = 0.0
     decided_locally: bool = False
     by_objective: bool = False
+    #: Whether workspaces of a level share it by what they are allowed.
+    shared_by_allowance: bool = False
     notice_interval: Seconds = 0.0
     rebuild_timeout: Seconds = 2.0
     orphan_timeout: Seconds = 30.0
--- a/src/amaranthferry/coordinator.py
+++ b/src/amaranthferry/coordinator.py
@@ -37,6 +37,7 @@
 from .quota import MIN_REPORTED_FRACTION, QuotaLedger
 from .servers import ServerRecord
 from .shards import choose_coordinator, pool_of, servers_of, shards_of
+from .sharing.shares import WorkspaceShares
 from .slot_shares import SlotShares
 from .types import HostId, RequestId, Seconds, ServerId, ShardId, WorkspaceId
 from .wait_queue import Rank, Waiter, WaitQueue
@@ -76,6 +77,8 @@
         self.queue: WaitQueue | ObjectiveQueue = WaitQueue()
         self.lengths = LengthEstimate()
         self.fair_share = FairShare()
+        #: The shares of workspaces in a queue by objective, if the rules ask for them.
+        self.workspace_shares: WorkspaceShares | None = None
         self.permits = PermitLedger()
         self.sequence = 0
         self._unregistered = set(self.hosts)
@@ -129,6 +132,7 @@
         self._rules = deployment.rules_of(pool_of(self.shard))
         if self._rules.by_objective and isinstance(self.queue, WaitQueue):
             self.queue = ObjectiveQueue()
+        self._apply_workspace_shares()
         self._tiers = 1 + max((t.rank for t in deployment.tiers.values()), default=0)
         pool = pool_of(self.shard)
         self.pool = deployment.pools.get(pool, self.pool)
@@ -150,6 +154,48 @@
         self._rates_version = None
         self._apply_shares()
 
+    def _apply_workspace_shares(self) -> None:
+        if not (self._rules.by_objective and self._rules.shared_by_allowance):
+            self.workspace_shares = None
+            return
+        if self.workspace_shares is None:
+            self.workspace_shares = WorkspaceShares()
+        rates = {name: quota.rate for name, quota in self._quotas.items()}
+        self.workspace_shares.apply(rates)
+
+    def charge(self, request: PermitRequest, cost: Seconds) -> int:
+        """Charge a queued request to its workspace, and return its fair rank."""
+        if self.workspace_shares is not None:
+            return self.workspace_shares.charge(request, cost)
+        if self.policy.fairness and not self._rules.by_objective:
+            return self.fair_share.charge(request, cost)
+        return 0
+
+    def refund(self, request: PermitRequest, cost: Seconds, now: Seconds) -> None:
+        """Take back what a request that isn't granted was charged."""
+        self.refund_share(request, cost)
+        self.quotas.refund(request.workspace, request.quota_cost, now)
+
+    def refund_share(self, request: PermitRequest, cost: Seconds) -> None:
+        """Take back only what a request counts in its workspace's share."""
+        if self.workspace_shares is not None:
+            self.workspace_shares.refund(request, cost)
+        else:
+            self.fair_share.refund(request, cost)
+
+    def is_deferred(self, waiter: Waiter) -> bool:
+        """Return whether a waiter's workspace is ahead of its share of the level."""
+        return self.workspace_shares is not None and waiter.rank.virtual_start > 0
+
+    def record_share(self, waiter: Waiter) -> None:
+        """Record that a waiter got a slot, in the shares of its level."""
+        request = waiter.request
+        if self.workspace_shares is not None:
+            self.workspace_shares.record_grant(request, waiter.cost)
+        else:
+            start = waiter.grant_rank.virtual_start
+            self.fair_share.record_grant(request, start)
+
     @property
     def has_role(self) -> bool:
         """Return whether this decider is the shard's coordinator in its host's view."""
@@ -316,8 +362,7 @@
         """Return the queue entry for a request."""
         self.sequence += 1
         deadline = now + request.remaining
-        fair = self.policy.fairness and not self._rules.by_objective
-        virtual_start = self.fair_share.charge(request, cost) if fair else 0
+        virtual_start = self.charge(request, cost)
         rank = Rank(
             request.tier_rank,
             request.class_rank,
--- a/src/amaranthferry/coordinator_reducer.py
+++ b/src/amaranthferry/coordinator_reducer.py
@@ -142,7 +142,7 @@
         return []
     waiter = coordinator.queue.remove(message.request_id)
     if waiter is not None:
-        coordinator.fair_share.refund(waiter.request, waiter.cost)
+        coordinator.refund_share(waiter.request, waiter.cost)
     coordinator.permits.close(message.request_id, now)
     return grant_waiting(coordinator, now)
 
--- a/src/amaranthferry/forecast.py
+++ b/src/amaranthferry/forecast.py
@@ -33,13 +33,15 @@
     """Describe one forecast: the expected wait, and one that few waits are below.
 
     `fluid` is the wait before it was corrected by the errors of earlier forecasts, and
-    `late` tells whether work of the same level that arrives later goes first.
+    `late` tells whether work of the same level that arrives later goes first, and
+    `deferred` whether only that of workspaces within their share does.
     """
 
     expected: Seconds = 0.0
     least: Seconds = 0.0
     fluid: Seconds = 0.0
     late: bool = False
+    deferred: bool = False
 
 
 class _Accuracy:
@@ -82,20 +84,27 @@
     def __init__(self, minimum_share: float) -> None:
         #: The fraction of each level's work that is served at least.
         self.minimum_share = minimum_share
-        self._arrivals: dict[Level, DecayingSum] = {}
-        self._refusals: dict[Level, DecayingSum] = {}
+        #: By level, and whether the work was deferred.
+        self._arrivals: dict[tuple[Level, bool], DecayingSum] = {}
+        self._refusals: dict[tuple[Level, bool], DecayingSum] = {}
         self._cost = DecayingSum(COMPLETION_TIME)
         self._elapsed = DecayingSum(COMPLETION_TIME)
         self._completions = DecayingSum(COMPLETION_TIME)
-        self._accuracies: dict[tuple[Level, bool], _Accuracy] = {}
+        self._accuracies: dict[tuple[Level, bool, bool], _Accuracy] = {}
 
-    def record_arrival(self, level: Level, cost: Seconds, now: Seconds) -> None:
+    def record_arrival(
+        self, level: Level, cost: Seconds, now: Seconds, *, deferred: bool = False
+    ) -> None:
         """Record work that is asked for."""
-        self._arrivals.setdefault(level, DecayingSum(ARRIVAL_TIME)).add(cost, now)
+        key = (level, deferred)
+        self._arrivals.setdefault(key, DecayingSum(ARRIVAL_TIME)).add(cost, now)
 
-    def record_refusal(self, level: Level, cost: Seconds, now: Seconds) -> None:
+    def record_refusal(
+        self, level: Level, cost: Seconds, now: Seconds, *, deferred: bool = False
+    ) -> None:
         """Record work that was asked for and is refused."""
-        self._refusals.setdefault(level, DecayingSum(ARRIVAL_TIME)).add(cost, now)
+        key = (level, deferred)
+        self._refusals.setdefault(key, DecayingSum(ARRIVAL_TIME)).add(cost, now)
 
     def record_completion(self, cost: Seconds, elapsed: Seconds, now: Seconds) -> None:
         """Record work that occupied a slot for some time."""
@@ -116,7 +125,8 @@
         """Record the wait that followed a forecast, of work that could wait `limit`."""
         expected = min(forecast.fluid, limit)
         if expected > 0:
-            self._accuracy(level, forecast.late).record(expected, waited, now)
+            accuracy = self._accuracy(level, forecast.late, forecast.deferred)
+            accuracy.record(expected, waited, now)
 
     def record_unserved(
         self, level: Level, forecast: Wait, waited: Seconds, now: Seconds
@@ -136,17 +146,25 @@
         return run / max(1.0, slots)
 
     def drain(
-        self, level: Level, slots: float, now: Seconds, *, late: bool = False
+        self,
+        level: Level,
+        slots: float,
+        now: Seconds,
+        *,
+        late: bool = False,
+        deferred: bool = False,
     ) -> float:
         """Return the cost that is completed a second beyond what goes first anyway.
 
-        More urgent work keeps arriving, and before late work also that of its own level.
-        What is refused takes no slot.
+        More urgent work keeps arriving, and before late work also that of its own level;
+        before deferred work, that of the workspaces within their share. What is refused
+        takes no slot.
         """
         ahead = sum(
             self._admitted(other, now)
             for other in self._arrivals
-            if other < level or (late and other == level)
+            if other[0] < level
+            or (other[0] == level and (late or (deferred and not other[1])))
         )
         return self._capacity(slots, now) - ahead
 
@@ -159,24 +177,26 @@
         slots: float,
         turn: Seconds = 0.0,
         late: bool = False,
+        deferred: bool = False,
     ) -> Wait:
         """Return the wait behind other work, once a slot is free after a turn.
 
         A level gets what more urgent work leaves, or its share if that is more.
         """
         in_order = _time(
-            ahead.above + ahead.own, self.drain(level, slots, now, late=late)
+            ahead.above + ahead.own,
+            self.drain(level, slots, now, late=late, deferred=deferred),
         )
         share = self._share(level, slots, now)
         by_share = _time(max(0.0, ahead.own - ahead.credit), share)
         fluid = turn + min(in_order, by_share)
-        accuracy = self._accuracy(level, late)
+        accuracy = self._accuracy(level, late, deferred)
         least_ratio = accuracy.least_ratio(now)
         least = fluid * least_ratio if least_ratio > 0 else 0.0
-        return Wait(fluid * accuracy.ratio(now), least, fluid, late)
+        return Wait(fluid * accuracy.ratio(now), least, fluid, late, deferred)
 
-    def _accuracy(self, level: Level, late: bool) -> _Accuracy:
-        return self._accuracies.setdefault((level, late), _Accuracy())
+    def _accuracy(self, level: Level, late: bool, deferred: bool) -> _Accuracy:
+        return self._accuracies.setdefault((level, late, deferred), _Accuracy())
 
     def rate(self, level: Level, cost: Seconds, slots: float, now: Seconds) -> float:
         """Return how many requests of a level get a slot a second, one after another."""
@@ -185,14 +205,17 @@
 
     def _share(self, level: Level, slots: float, now: Seconds) -> float:
         """Return the cost a second that a level gets however much goes before it."""
-        arrivals = self._arrivals.get(level)
-        asked = 0.0 if arrivals is None else arrivals.rate(now)
+        asked = sum(
+            self._arrivals[key].rate(now)
+            for key in ((level, False), (level, True))
+            if key in self._arrivals
+        )
         return self.minimum_share * min(asked, self._capacity(slots, now))
 
-    def _admitted(self, level: Level, now: Seconds) -> float:
-        refusals = self._refusals.get(level)
+    def _admitted(self, key: tuple[Level, bool], now: Seconds) -> float:
+        refusals = self._refusals.get(key)
         refused = 0.0 if refusals is None else refusals.rate(now)
-        return max(0.0, self._arrivals[level].rate(now) - refused)
+        return max(0.0, self._arrivals[key].rate(now) - refused)
 
     def _capacity(self, slots: float, now: Seconds) -> float:
         """Return the cost that all slots complete a second."""
--- a/src/amaranthferry/gateway/application.py
+++ b/src/amaranthferry/gateway/application.py
@@ -522,7 +522,10 @@
         if catalog is None:
             return
         deployment = deployment_of(
-            catalog, self.servers.roster.instances, self._budget_limits()
+            catalog,
+            self.servers.roster.instances,
+            self._budget_limits(),
+            features=self.options.pool_features(),
         )
         self.handle(SettingsApplied(now=self.clock(), deployment=deployment))
         self._check_initialized()
--- a/src/amaranthferry/gateway/log_events.py
+++ b/src/amaranthferry/gateway/log_events.py
@@ -90,11 +90,13 @@
     # attempt, code, status, version, belief_age, revision, source, store_lost: the
     # configuration it was judged by, and the host that confirmed it ("" for the store)
     REQUEST_REFUSED = "request.refused"
-    REQUEST_DISPATCHED = "request.dispatched"  # request_id, route, server, waited
+    # request_id, route, workspace, server, run, waited, decided_by
+    REQUEST_DISPATCHED = "request.dispatched"
     # request_id, route, server, runs, ages, framing, closed_by_peer, partial_event,
     # server_limit
     REQUEST_ANSWERED = "request.answered"
-    REQUEST_SETTLED = "request.settled"  # request_id, outcome, reason, retry_after
+    # request_id, route, workspace, outcome, reason, retry_after, runs, caller_gone, age
+    REQUEST_SETTLED = "request.settled"
     DISPATCH_UNREACHED = "dispatch.unreached"  # request_id, server, problem
     # request_id, server, service, status, retry_after, hold_off, decided_by
     DISPATCH_NOT_RUN = "dispatch.not_run"
--- a/src/amaranthferry/gateway/options.py
+++ b/src/amaranthferry/gateway/options.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from ..catalog import PoolFeatures
 from ..exceptions import SettingsError
 
 
@@ -20,11 +21,24 @@
     limit: float = 0.02
 
 
+class SharingOptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Define whether workspaces that compete share engines by what they are allowed."""
+
+    enabled: bool = False
+
+
 class HostOptions(msgspec.Struct, frozen=True):
     """Define the options of a host; the defaults leave optional features off."""
 
     intake: IntakeOptions = IntakeOptions()
     hedging: HedgingOptions = HedgingOptions()
+    sharing: SharingOptions = SharingOptions()
+
+    def pool_features(self) -> PoolFeatures:
+        """Return which optional decisions the pools make."""
+        return PoolFeatures(
+            shared_by_allowance=self.sharing.enabled,
+        )
 
     @classmethod
     def from_arguments(cls, arguments: list[str]) -> Self:
--- a/src/amaranthferry/granting.py
+++ b/src/amaranthferry/granting.py
@@ -83,7 +83,10 @@
     """Add a waiter to the objective queue, or refuse it if it would expire there."""
     request = waiter.request
     coordinator.minimum_shares.record_arrival(waiter.rank[:2], waiter.cost)
-    coordinator.forecast.record_arrival(waiter.rank[:2], waiter.cost, now)
+    deferred = coordinator.is_deferred(waiter)
+    coordinator.forecast.record_arrival(
+        waiter.rank[:2], waiter.cost, now, deferred=deferred
+    )
     prefill = _prefill_time(coordinator, waiter)
     objective = request.objective if request.objective else request.remaining
     expires_at = _last_start(coordinator, waiter, prefill, now)
@@ -245,8 +248,15 @@
     turn = 0.0
     if len(coordinator.permits) >= slots:
         turn = forecast.turn_time(waiter.cost, slots, now)
-    late = queue.is_late(request_id)
-    return forecast.wait(level, ahead, now, slots=slots, turn=turn, late=late)
+    return forecast.wait(
+        level,
+        ahead,
+        now,
+        slots=slots,
+        turn=turn,
+        late=queue.is_late(request_id),
+        deferred=coordinator.is_deferred(waiter),
+    )
 
 
 def _refuse_for(
@@ -269,8 +279,7 @@
         hold = coordinator.hold_of(request, now)
         if hold is not None:
             coordinator.queue.remove(request.request_id)
-            coordinator.fair_share.refund(request, waiter.cost)
-            coordinator.quotas.refund(request.workspace, request.quota_cost, now)
+            coordinator.refund(request, waiter.cost, now)
             effects += _refuse_for(coordinator, request, waiter.host, hold)
     return effects
 
@@ -291,8 +300,7 @@
             continue
         if request.request_id not in listed:
             coordinator.queue.remove(request.request_id)
-            coordinator.fair_share.refund(request, waiter.cost)
-            coordinator.quotas.refund(request.workspace, request.quota_cost, now)
+            coordinator.refund(request, waiter.cost, now)
 
 
 def refuse_held_off(
@@ -342,8 +350,7 @@
     retry_after: Seconds,
     now: Seconds,
 ) -> Effect:
-    coordinator.fair_share.refund(waiter.request, waiter.cost)
-    coordinator.quotas.refund(waiter.request.workspace, waiter.request.quota_cost, now)
+    coordinator.refund(waiter.request, waiter.cost, now)
     return _refusal_effect(
         coordinator, waiter.request, waiter.host, reason, retry_after
     )
@@ -379,9 +386,11 @@
 def _refuse(
     coordinator: Coordinator, waiter: Waiter, reason: RefusalReason, now: Seconds
 ) -> Effect:
-    coordinator.fair_share.refund(waiter.request, waiter.cost)
-    coordinator.quotas.refund(waiter.request.workspace, waiter.request.quota_cost, now)
-    coordinator.forecast.record_refusal(waiter.rank[:2], waiter.cost, now)
+    coordinator.refund(waiter.request, waiter.cost, now)
+    deferred = coordinator.is_deferred(waiter)
+    coordinator.forecast.record_refusal(
+        waiter.rank[:2], waiter.cost, now, deferred=deferred
+    )
     if reason is RefusalReason.NO_SERVER:
         retry_after = NO_SERVER_RETRY
     else:
@@ -497,7 +506,7 @@
     caution: Caution | None,
 ) -> list[Effect]:
     coordinator.queue.remove(waiter.request.request_id)
-    coordinator.fair_share.record_grant(waiter.request, waiter.grant_rank.virtual_start)
+    coordinator.record_share(waiter)
     record = choice.record
     permit = Permit(
         request=waiter.request,
--- a/src/amaranthferry/objectives.py
+++ b/src/amaranthferry/objectives.py
@@ -43,6 +43,7 @@
     tier: int
     work_class: int
     late: bool
+    excess: int
     latest_start: Seconds
     sequence: int
 
@@ -129,7 +130,9 @@
         late = latest_start < waiter.arrived
         rank = waiter.rank
         start = expires_at if late else latest_start
-        position = _Position(rank.tier, rank.work_class, late, start, rank.sequence)
+        position = _Position(
+            rank.tier, rank.work_class, late, rank.virtual_start, start, rank.sequence
+        )
         self._waiters[request_id] = waiter
         self._ids[rank.sequence] = request_id
         self._expires_at[request_id] = expires_at
