--- a/src/amaranthferry/catalog.py
+++ b/src/amaranthferry/catalog.py
@@ -284,6 +284,7 @@
     """Define which optional decisions the pools of a deployment make."""
 
     shared_by_allowance: bool = False
+    holds_long_answers: bool = False
 
 
 NO_FEATURES = PoolFeatures()
@@ -376,6 +377,7 @@
         decided_locally=plain,
         by_objective=not plain,
         shared_by_allowance=features.shared_by_allowance and not plain,
+        holds_long_answers=features.holds_long_answers and not plain,
         notice_interval=0.0 if plain else NOTICE_INTERVAL,
         rebuild_timeout=REBUILD_TIMEOUT,
         orphan_timeout=ORPHAN_TIMEOUT,
--- a/src/amaranthferry/config.py
+++ b/src/amaranthferry/config.py
@@ -108,6 +108,8 @@
     by_objective: bool = False
     #: Whether workspaces of a level share it by what they are allowed.
     shared_by_allowance: bool = False
+    #: Whether long answers wait for servers that end them by their deadlines.
+    holds_long_answers: bool = False
     notice_interval: Seconds = 0.0
     rebuild_timeout: Seconds = 2.0
     orphan_timeout: Seconds = 30.0
--- a/src/amaranthferry/coordinator.py
+++ b/src/amaranthferry/coordinator.py
@@ -390,6 +390,7 @@
             share=REBUILD_SHARE if self.is_rebuilding(now) else 1.0,
             bulk_share=self.pool.bulk_share if self.policy.bulk_share else 1.0,
             policy=policy,
+            holds_long_answers=self._rules.holds_long_answers,
         )
 
     @property
--- a/src/amaranthferry/gateway/options.py
+++ b/src/amaranthferry/gateway/options.py
@@ -27,17 +27,26 @@
     enabled: bool = False
 
 
+class PlacementOptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Define where requests to engines are placed."""
+
+    #: Whether long answers wait for engines that end them by their deadlines.
+    hold_long_answers: bool = False
+
+
 class HostOptions(msgspec.Struct, frozen=True):
     """Define the options of a host; the defaults leave optional features off."""
 
     intake: IntakeOptions = IntakeOptions()
     hedging: HedgingOptions = HedgingOptions()
     sharing: SharingOptions = SharingOptions()
+    placement: PlacementOptions = PlacementOptions()
 
     def pool_features(self) -> PoolFeatures:
         """Return which optional decisions the pools make."""
         return PoolFeatures(
             shared_by_allowance=self.sharing.enabled,
+            holds_long_answers=self.placement.hold_long_answers,
         )
 
     @classmethod
--- a/src/amaranthferry/objectives.py
+++ b/src/amaranthferry/objectives.py
@@ -38,7 +38,10 @@
 
 
 class _Position(NamedTuple):
-    """Order waiters; `latest_start` is for the objective, or for any answer if late."""
+    """Order waiters; `latest_start` is for the objective, or for any answer if late.
+
+    `excess` tells how far the workspace is ahead of its share of the level.
+    """
 
     tier: int
     work_class: int
@@ -346,7 +349,9 @@
         """Return the best server for a waiter, or None while it has to wait.
 
         A waiter that isn't late only goes where it is expected to meet its objective, as
-        long as a server that is busy now could still do so.
+        long as a server that is busy now could still do so. Where long answers are held,
+        it also goes where even one is expected to end by its deadline, by the same terms;
+        rather than miss the objective, it goes where one of the expected length does.
         """
         request, now = waiter.request, self._now
         policy = self._limits.policy
@@ -358,24 +363,67 @@
             and record.accepts_from(waiter.host, now)
             and has_kv_capacity(record, request, now, self._limits)
         ]
-        if not late and request.objective > 0:
-            due = waiter.arrived + request.objective
-            timely = [item for item in predictions if item.first_token_at <= due]
-            if timely or self._may_be_timely(waiter, due):
-                predictions = timely
+        predictions = self._suitable(waiter, predictions, late=late)
         return min(
             predictions,
             key=lambda item: cautious_cost(item, request, now, caution),
             default=None,
         )
 
+    def _suitable(
+        self, waiter: Waiter, predictions: list[Prediction], *, late: bool
+    ) -> list[Prediction]:
+        """Return where a waiter may go now; nowhere while it waits for a busy server."""
+        request, deadline = waiter.request, waiter.deadline
+        if not late and request.objective > 0:
+            due = waiter.arrived + request.objective
+            timely = [item for item in predictions if item.first_token_at <= due]
+            safe = [item for item in timely if self._is_safe(item, waiter)]
+            if safe or self._may_be_timely(waiter, due):
+                return safe
+            likely = [item for item in timely if item.finish_at <= deadline]
+            if likely and self._limits.holds_long_answers:
+                return likely
+        if not self._limits.holds_long_answers:
+            return predictions
+        safe = [item for item in predictions if self._is_safe(item, waiter)]
+        return safe if safe or self._may_end_in_time(waiter) else predictions
+
+    def _is_safe(self, prediction: Prediction, waiter: Waiter) -> bool:
+        """Return whether even a long answer is expected to end by the deadline.
+
+        How much is left of what may have run isn't known.
+        """
+        if waiter.request.may_have_run or not self._limits.holds_long_answers:
+            return True
+        return prediction.conservative_finish_at <= waiter.deadline
+
     def _may_be_timely(self, waiter: Waiter, due: Seconds) -> bool:
-        """Return whether a server that is busy now could meet an objective once free."""
+        """Return whether a busy server could meet the objective, and end in time."""
         request = waiter.request
         return any(
             record.serves(request)
             and max(self._now, record.blocked_until)
             + request.prompt_tokens / record.speed.prefill_rate
             <= due
+            and self._ends_in_time(record, waiter)
             for record in self._busy
         )
+
+    def _may_end_in_time(self, waiter: Waiter) -> bool:
+        """Return whether a busy server could end even a long answer in time."""
+        return any(
+            record.serves(waiter.request) and self._ends_in_time(record, waiter)
+            for record in self._busy
+        )
+
+    def _ends_in_time(self, record: ServerRecord, waiter: Waiter) -> bool:
+        """Return whether a server ends even a long answer in time if it begins now."""
+        request = waiter.request
+        if request.may_have_run or not self._limits.holds_long_answers:
+            return True
+        prefill = request.prompt_tokens / record.speed.prefill_rate
+        tokens = self._lengths.conservative(request)
+        decode = tokens * record.speed.decode_interval(record.slots)
+        start = max(self._now, record.blocked_until)
+        return start + prefill + decode <= waiter.deadline
--- a/src/amaranthferry/placement.py
+++ b/src/amaranthferry/placement.py
@@ -36,6 +36,7 @@
     share: float
     bulk_share: float
     policy: Policy
+    holds_long_answers: bool = False
 
 
 class Caution(msgspec.Struct, frozen=True):
--- a/tests/test_objectives.py
+++ b/tests/test_objectives.py
@@ -371,3 +371,49 @@
     send(coordinator, permit_request("waits", prompt=1_000, objective=1.0), 0.02)
     assert granted(tick(coordinator, 0.85)) == []
     assert granted(tick(coordinator, 0.95)) == ["waits"]
+
+
+def slow_and_busy(*, decode_interval, holds=True):
+    """Return a coordinator with a free slow server, and what runs at the busy one."""
+    coordinator = make_coordinator(servers=2, slots=1, holds_long_answers=holds)
+    ((name, server),) = fill(coordinator, 1).items()
+    (slow,) = [r for r in coordinator.servers.values() if r.cfg.name != server]
+    slow.speed.observe_decode(100_000, 100_000 * decode_interval, 1)
+    return coordinator, name, server
+
+
+def test_long_answer_is_not_cut_at_its_deadline_on_a_server_that_is_too_slow_for_it():
+    coordinator, name, server = slow_and_busy(decode_interval=0.05)
+    request = permit_request("long", out=300, objective=0.0, remaining=10.0)
+    assert granted(send(coordinator, request, 0.02)) == []
+    assert granted(send(coordinator, release(name, server), 0.3)) == ["long"]
+
+
+def test_short_answer_goes_to_the_slow_server_that_a_long_one_waits_beside():
+    coordinator, _, _ = slow_and_busy(decode_interval=0.05)
+    request = permit_request("long", out=300, objective=0.0, remaining=10.0)
+    send(coordinator, request, 0.02)
+    request = permit_request("short", out=50, objective=0.0, remaining=10.0)
+    assert granted(send(coordinator, request, 0.03)) == ["short"]
+
+
+def test_long_answer_gets_the_slow_server_if_no_other_could_end_it_either():
+    coordinator, _, _ = slow_and_busy(decode_interval=0.05)
+    for record in coordinator.servers.values():
+        record.speed.observe_decode(100_000, 5_000.0, 1)
+    request = permit_request("long", out=195, objective=0.0, remaining=10.0)
+    assert granted(send(coordinator, request, 0.02)) == ["long"]
+
+
+def test_objective_is_not_missed_for_the_sake_of_an_unusually_long_answer():
+    coordinator, _, _ = slow_and_busy(decode_interval=0.05)
+    busy = [r for r in coordinator.servers.values() if r.permits]
+    busy[0].set_enabled(False)
+    request = permit_request("may-be-long", out=150, objective=1.0, remaining=10.0)
+    assert granted(send(coordinator, request, 0.02)) == ["may-be-long"]
+
+
+def test_deployment_without_the_rule_places_long_answers_as_before():
+    coordinator, _, _ = slow_and_busy(decode_interval=0.05, holds=False)
+    request = permit_request("long", out=300, objective=0.0, remaining=10.0)
+    assert granted(send(coordinator, request, 0.02)) == ["long"]
