--- a/src/amaranthferry/events.py
+++ b/src/amaranthferry/events.py
@@ -164,10 +164,16 @@
 
 
 class DispatchRefused(Event, frozen=True):
-    """Report an unexecuted dispatch: refused by the server, or never connected."""
+    """Report an unexecuted dispatch: refused by the server, or never sent to it.
+
+    Or the host gave it up before it was sent, at the deadline of the request or since the
+    host stops.
+    """
 
     request_id: RequestId
     by_server: bool = False
+    timed_out: bool = False
+    host_stops: bool = False
 
 
 class FirstTokenSeen(Event, frozen=True):
--- a/src/amaranthferry/gateway/dispatching.py
+++ b/src/amaranthferry/gateway/dispatching.py
@@ -27,6 +27,7 @@
     AnswerStart,
     BrokenAnswer,
     HttpConnection,
+    RequestNotSent,
     ServerProcess,
     check_process,
 )
@@ -202,8 +203,7 @@
             )
         except (OSError, TimeoutError) as exc:
             self._log(LogEvent.DISPATCH_UNREACHED, problem=str(exc) or "timeout")
-            self._end = _AnswerEnd.UNREACHED
-            self._report(self._refused(by_server=False))
+            self._report_end(_AnswerEnd.UNREACHED)
             return
         try:
             end = await self._exchange_messages(self._conn)
@@ -219,8 +219,8 @@
     def _report_end(self, end: _AnswerEnd) -> None:
         self._end = end
         request_id = self._call.request_id
-        if end is _AnswerEnd.NOT_RUN:
-            self._report(self._refused(by_server=True))
+        if end in (_AnswerEnd.NOT_RUN, _AnswerEnd.UNREACHED):
+            self._report(self._refused(by_server=end is _AnswerEnd.NOT_RUN))
         elif end is _AnswerEnd.BROKEN:
             self._exchange.unknown_dispatches += 1
             self._report(
@@ -258,10 +258,15 @@
             last_event_id=self._exchange.last_event_id or call.params.last_event_id,
         )
         self._sent_at = self._clock()
+        self._exchange.request_sent = True
         try:
             conn.send(call.method, call.target, sent, call.body)
             start = await self._wait_for(conn.start, self._start_timeout)
             return await self._receive_answer(conn, start)
+        except RequestNotSent as exc:
+            self._exchange.request_sent = False
+            self._log(LogEvent.DISPATCH_UNREACHED, problem=str(exc))
+            return _AnswerEnd.UNREACHED
         except (BrokenAnswer, TimeoutError) as exc:
             if self._started_at is None and isinstance(exc, TimeoutError):
                 self._times.back_off(self.service, self._clock() - self._sent_at)
--- a/src/amaranthferry/gateway/exchange.py
+++ b/src/amaranthferry/gateway/exchange.py
@@ -62,6 +62,8 @@
         self.first_byte: Seconds | None = None
         self.tokens: Tokens = 0
         self.dispatches = 0
+        #: Whether bytes of the current dispatch may have been written to its server.
+        self.request_sent = False
         #: Dispatches of unknown outcome; after one the request may have been executed.
         self.unknown_dispatches = 0
         self.timed_out = False
--- a/src/amaranthferry/gateway/performer.py
+++ b/src/amaranthferry/gateway/performer.py
@@ -80,7 +80,7 @@
         _perform(effect, self)
 
     def expire(self, exchange: RoutedExchange) -> None:
-        """End a request at its deadline; a pending dispatch may have been executed."""
+        """End a request at its deadline; what was sent may have been executed."""
         app = self.app
         request_id = exchange.call.request_id
         req = app.state.requests.get(request_id)
@@ -93,7 +93,7 @@
         self._end_dispatch(exchange, timed_out=True)
 
     def end_for_stop(self, exchange: RoutedExchange) -> None:
-        """End a running request, which may have been executed, as this host stops."""
+        """End a running request as this host stops; what was sent may have run."""
         self._end_dispatch(exchange, host_stops=True)
 
     def _end_dispatch(
@@ -105,8 +105,9 @@
     ) -> None:
         if exchange.task is not None:
             exchange.task.cancel()
+        ended = DispatchFailed if exchange.request_sent else DispatchRefused
         self.app.handle(
-            DispatchFailed(
+            ended(
                 now=self.app.clock(),
                 request_id=exchange.call.request_id,
                 timed_out=timed_out,
@@ -211,6 +212,7 @@
         app.handle_later(refused)
         return
     exchange.dispatches += 1
+    exchange.request_sent = False
     decided_by = _decider(app.state, req)
     waited = app.clock() - exchange.call.arrived
     app.telemetry.wait.observe(waited, exchange.call.route.name)
@@ -261,7 +263,10 @@
     """Count the dispatch; close the exchange unless it has been dispatched again."""
     app = performer.app
     request_id = exchange.call.request_id
-    if not task.cancelled() and task.exception() is not None:
+    failed = not task.cancelled() and task.exception() is not None
+    if failed and not exchange.request_sent:
+        app.handle(DispatchRefused(now=app.clock(), request_id=request_id))
+    elif failed:
         # The request may have run, and nothing else would end it before its deadline.
         exchange.unknown_dispatches += 1
         app.handle(DispatchFailed(now=app.clock(), request_id=request_id))
--- a/src/amaranthferry/http_connection.py
+++ b/src/amaranthferry/http_connection.py
@@ -38,6 +38,10 @@
     """Report that an answer is truncated or is not valid HTTP; internal."""
 
 
+class RequestNotSent(BrokenAnswer):
+    """Report that no byte of a request was written, so that it can't have run."""
+
+
 #: Timeout of the connection that tells whether a server's process has ended; the
 #: request's next attempt waits for it.
 CHECK_TIMEOUT: Seconds = 0.15
@@ -260,8 +264,8 @@
         body: bytes = b"",
     ) -> None:
         """Write one request; its answer is read by `start` and `chunk`."""
-        if self._transport is None:
-            raise BrokenAnswer("The connection is closed.")
+        if self._transport is None or self._transport.is_closing():
+            raise RequestNotSent("The connection is closed.")
         self._parser = httptools.HttpResponseParser(self)
         self._start, self._complete, self._framed = None, False, False
         self._informational = False
--- a/src/amaranthferry/running.py
+++ b/src/amaranthferry/running.py
@@ -48,7 +48,13 @@
     req = state.requests.get(event.request_id)
     if req is None or not req.is_running:
         return []
-    effects = _release(state, req, dispatched=event.by_server, failed=True)
+    # A connection that the host gave up says nothing about the server.
+    given_up = event.timed_out or event.host_stops
+    effects = _release(state, req, dispatched=event.by_server, failed=not given_up)
+    if event.timed_out:
+        return effects + refuse_expired(state, req)
+    if event.host_stops:
+        return effects + refuse(state, req, RefusalReason.DRAINING, OTHER_HOST_RETRY)
     if event.by_server:
         req.tried_servers = (*req.tried_servers, _server_of(req))
         if req.may_redispatch and _spend_repeat_budget(state, req):
