--- a/src/amaranthferry/catalog.py
+++ b/src/amaranthferry/catalog.py
@@ -1,6 +1,7 @@
 """Define the routing configuration: routes, services, workspaces and live servers."""
 
 import hashlib
+from collections import Counter
 from enum import StrEnum
 
 import msgspec
@@ -17,6 +18,7 @@
     WorkClass,
     Workspace,
 )
+from .contention.orders import needs_shared_order
 from .types import (
     ClassId,
     ModelId,
@@ -272,6 +274,8 @@
     window may exceed rate and burst by the overage, a fraction, and by the slack.
     """
 
+    #: The number of hosts, or 0 if it is unknown.
+    hosts: int = 0
     repeat_ratio: float = 0.1
     repeat_burst: float = 2.0
     repeat_refill: float = 0.1
@@ -290,6 +294,9 @@
         for server, instance in instances.items()
         if instance.service in catalog.services and instance.state is ServerState.LIVE
     }
+    slots = Counter[PoolId]()
+    for server in servers.values():
+        slots[server.pool] += server.slots
     names = [item.workspace for item in catalog.subscribers or ()]
     return Deployment(
         name="catalog",
@@ -304,7 +311,7 @@
             for item in catalog.subscribers or ()
         },
         rules={
-            name: _rules(service, budget_limits)
+            name: _rules(service, budget_limits, slots[name])
             for name, service in catalog.services.items()
         },
         incarnations={name: instances[name].incarnation for name in servers},
@@ -331,7 +338,7 @@
 
 def _pool(service: RoutedService) -> Pool:
     if service.engine is None:
-        return Pool(service.name, kind=PoolKind.SERVICE)
+        return Pool(service.name, kind=PoolKind.SERVICE, minimum_share=0.0)
     return Pool(
         service.name,
         models=service.engine.models,
@@ -352,15 +359,19 @@
     return Quota(rate, burst, leeway, window, withheld, surge)
 
 
-def _rules(service: RoutedService, budget_limits: BudgetLimits) -> PoolRules:
+def _rules(
+    service: RoutedService, budget_limits: BudgetLimits, slots: int
+) -> PoolRules:
     plain = service.engine is None
+    shared = plain and needs_shared_order(budget_limits.hosts, slots)
     return PoolRules(
         repeat_ratio=budget_limits.repeat_ratio,
         repeat_burst=budget_limits.repeat_burst,
         repeat_refill=budget_limits.repeat_refill,
         decided_locally=plain,
-        by_objective=not plain,
-        notice_interval=0.0 if plain else NOTICE_INTERVAL,
+        shared_when_full=shared,
+        by_objective=shared or not plain,
+        notice_interval=NOTICE_INTERVAL if shared or not plain else 0.0,
         rebuild_timeout=REBUILD_TIMEOUT,
         orphan_timeout=ORPHAN_TIMEOUT,
     )
--- a/src/amaranthferry/coordination.py
+++ b/src/amaranthferry/coordination.py
@@ -3,6 +3,12 @@
 import xxhash
 
 from . import coordinator_reducer
+from .contention.sharing import (
+    apply_advert,
+    begin_by_registration,
+    check_shared_orders,
+    tell_joined,
+)
 from .coordinator import Coordinator
 from .deploying import apply_deployment
 from .effects import Effect, SendToHost
@@ -62,6 +68,8 @@
     coordinator, effects = _open_coordinator(state, message.shard)
     if isinstance(message, Registration):
         effects += learn_limits(state, message.limits)
+        if message.filling:
+            effects += begin_by_registration(state, message.shard)
     return effects + coordinator_reducer.reduce(coordinator, event)
 
 
@@ -111,7 +119,7 @@
 @receive_message.register
 def _(message: ShardAdvert, event: PeerReceived, state: HostState) -> list[Effect]:
     state.waits[message.shard] = message.waits
-    return []
+    return apply_advert(state, message, event.sender)
 
 
 @receive_message.register
@@ -133,7 +141,7 @@
     since_tick = 0.0 if state.ticked_at is None else state.now - state.ticked_at
     state.ticked_at = state.now
     effects = expire(state) + _expire_order_drains(state) + end_hold_offs(state)
-    effects += tell_limits(state)
+    effects += tell_limits(state) + check_shared_orders(state)
     if state.lost_hosts:
         _update_recent_hosts(state)
     for coordinator in list(state.coordinators.values()):
@@ -199,6 +207,8 @@
     after = state.coordinator_hosts()
     _move_roles(state, after)
     effects = ask_others(state) + tell_joined_hosts(state, added)
+    if added:
+        tell_joined(state)
     changed = MembersChanged(now=state.now, hosts=hosts, draining=draining)
     for coordinator in state.coordinators.values():
         effects += coordinator_reducer.reduce(coordinator, changed)
@@ -207,7 +217,10 @@
     _update_recent_hosts(state)
     for shard, host in after.items():
         if before.get(shard) != host:
-            effects += end_absence(state, shard) or register_requests(state, shard)
+            shared = shard in state.shared_orders
+            effects += end_absence(state, shard) or register_requests(
+                state, shard, filling=shared
+            )
     return effects
 
 
--- a/src/amaranthferry/coordinator.py
+++ b/src/amaranthferry/coordinator.py
@@ -102,6 +102,8 @@
         self.makes_trials = False
         #: The hosts that rely on this decider, while another host has the role.
         self.shares: SlotShares | None = None
+        #: Whether it decides for all hosts though these decide locally at other times.
+        self.serves_all = False
         self._quotas: Mapping[WorkspaceId, Quota] = {}
         self._shard_count = 1
         self._shard_servers: tuple[BackendServer, ...] = ()
@@ -128,7 +130,7 @@
         self.limits = deployment.limits
         self._rules = deployment.rules_of(pool_of(self.shard))
         if self._rules.by_objective and isinstance(self.queue, WaitQueue):
-            self.queue = ObjectiveQueue()
+            self.queue = _by_objective(self.queue)
         self._tiers = 1 + max((t.rank for t in deployment.tiers.values()), default=0)
         pool = pool_of(self.shard)
         self.pool = deployment.pools.get(pool, self.pool)
@@ -181,6 +183,32 @@
         self._apply_shares()
         self._mark_orphans(now)
 
+    def serve_all(self, now: Seconds) -> None:
+        """Decide for all hosts, whose running work is yet to be registered.
+
+        Registrations count that have come since a role was taken just before.
+        """
+        self.serves_all = True
+        if not self.is_new(now):
+            self._unregistered = set(self.hosts.difference((self.coordinator,)))
+            self.started = now
+
+    def serve_own(self) -> None:
+        """Decide for this host alone again."""
+        self.serves_all = False
+        self._unregistered.clear()
+        self._apply_shares()
+
+    @property
+    def unregistered(self) -> int:
+        """Return the number of hosts whose running work isn't known."""
+        return len(self._unregistered)
+
+    @property
+    def orders_plain_work(self) -> bool:
+        """Return whether plain work is ordered by objective."""
+        return self._rules.shared_when_full
+
     def record_reliance(self, host: HostId, now: Seconds) -> None:
         """Record that a host has this decider decide for it."""
         if self.shares is not None and self.shares.record_reliance(host, now):
@@ -248,7 +276,7 @@
         if self.shares is not None:
             owners = frozenset(self.shares.hosts)
             return TurnOwners(Part.SECONDARY, self.recent_hosts | owners, owners)
-        if self._rules.decided_locally:
+        if self._rules.decided_locally and not self.serves_all:
             own = frozenset((self.coordinator,))
             return TurnOwners(Part.SHARE, self.recent_hosts | own, own)
         return ALL_TURNS
@@ -268,10 +296,11 @@
 
     def is_rebuilding(self, now: Seconds) -> bool:
         """Return whether there may be running work that no host has registered yet."""
-        return (
-            bool(self._unregistered)
-            and now < self.started + self._rules.rebuild_timeout
-        )
+        return bool(self._unregistered) and self.is_new(now)
+
+    def is_new(self, now: Seconds) -> bool:
+        """Return whether hosts may not yet have registered with this decider."""
+        return now < self.started + self._rules.rebuild_timeout
 
     def register(self, message: Registration, host: HostId, now: Seconds) -> None:
         """Record that a host has registered its requests and their quota usage."""
@@ -330,7 +359,13 @@
     def objective_chooser(self, now: Seconds) -> ObjectiveChooser:
         """Return a chooser that places work by objective, for one pass at `now`."""
         records = self.servers.values()
-        return ObjectiveChooser(records, now, self._placement_limits(now), self.lengths)
+        return ObjectiveChooser(
+            records,
+            now,
+            self._placement_limits(now),
+            self.lengths,
+            spreads=self._rules.decided_locally and not self.serves_all,
+        )
 
     def chooser(self, now: Seconds) -> Chooser:
         """Return a chooser that places work by rank, for one pass at `now`."""
@@ -441,7 +476,8 @@
         wait = self.forecast.wait(rank[:2], ahead, now, slots=self.slots())
         return min(MAX_PREDICTED_WAIT, wait.expected)
 
-    def _waits(self, now: Seconds) -> tuple[Seconds, ...]:
+    def waits(self, now: Seconds) -> tuple[Seconds, ...]:
+        """Return the predicted wait by tier rank."""
         ranks = (Rank(tier + 1, 0, 0, 0.0, 0) for tier in range(self._tiers))
         return tuple(self.predicted_wait(rank, now) for rank in ranks)
 
@@ -471,5 +507,19 @@
         start = self._next_advert_index % len(hosts)
         self._next_advert_index = start + count
         chosen = (hosts + hosts)[start : start + count]
-        message = ShardAdvert(self.shard, self.coordinator, self._waits(now))
+        message = ShardAdvert(self.shard, self.coordinator, self.waits(now))
         return [SendToHost(host=host, message=message) for host in chosen]
+
+
+def _by_objective(queue: WaitQueue) -> ObjectiveQueue:
+    """Return a queue by objective with the waiters of another one."""
+    ordered = ObjectiveQueue()
+    for waiter in queue:
+        request = waiter.request
+        objective = request.objective if request.objective else request.remaining
+        ordered.add(
+            waiter,
+            expires_at=queue.expires_at(request.request_id),
+            latest_start=waiter.arrived + objective,
+        )
+    return ordered
--- a/src/amaranthferry/gateway/application.py
+++ b/src/amaranthferry/gateway/application.py
@@ -97,6 +97,7 @@
         burst = max(burst, float(hosts))
     refill = bounds.retry_extra * REFILL_FRACTION
     return BudgetLimits(
+        hosts=hosts,
         repeat_ratio=bounds.retry_ratio * RATIO_FRACTION,
         repeat_burst=burst / hosts,
         repeat_refill=refill / hosts / bounds.retry_window,
--- a/src/amaranthferry/gateway/performer.py
+++ b/src/amaranthferry/gateway/performer.py
@@ -38,7 +38,6 @@
 from ..leaving import incarnation_of
 from ..problems import Problem
 from ..requests import Request
-from ..shards import pool_of
 from ..state import HostState
 from ..types import Decider, Outcome, RefusalReason
 from . import dispatching
@@ -245,7 +244,7 @@
 
 def _decider(state: HostState, req: Request) -> Decider:
     """Return who granted the permit that a request is dispatched with."""
-    if state.deployment.rules_of(pool_of(req.shard)).decided_locally:
+    if state.is_decided_locally(req.shard):
         return Decider.LOCAL
     if req.permit_host == state.host and req.shard in state.fallbacks:
         return Decider.FALLBACK
--- a/src/amaranthferry/granting.py
+++ b/src/amaranthferry/granting.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Collection, Iterable
 
+from .contention.orders import RUN_TIME_MARGIN
+from .contention.run_times import mean_run_time
 from .coordinator import MAX_PREDICTED_WAIT, Coordinator
 from .effects import Effect, ReportForecast, ReportHold, ReportTrial, SendToHost
 from .forecast import Wait
@@ -11,7 +13,7 @@
 from .objectives import MAX_SKIPPED, ObjectiveQueue
 from .placement import Caution, Prediction, fastest_service_time
 from .servers import Permit
-from .types import HostId, RefusalReason, Seconds
+from .types import HostId, RefusalReason, Seconds, Tokens
 from .wait_queue import Lane, Waiter, WaitQueue
 
 #: Waiters that are tried from the head of a lane before the lane is skipped.
@@ -47,9 +49,7 @@
 def _enqueue_allowed(
     coordinator: Coordinator, request: PermitRequest, host: HostId, now: Seconds
 ) -> list[Effect]:
-    service = fastest_service_time(
-        coordinator.servers.values(), request, coordinator.lengths.expected(request)
-    )
+    service = _service_time(coordinator, request, coordinator.lengths.expected(request))
     waiter = coordinator.make_waiter(request, host, now, service or 0.0)
     if request.quota_cost > 0:
         wait = coordinator.quotas.charge(request.workspace, request.quota_cost, now)
@@ -101,8 +101,18 @@
 
 
 def _prefill_time(coordinator: Coordinator, waiter: Waiter) -> Seconds:
+    time = _service_time(coordinator, waiter.request, 0) or 0.0
+    return RUN_TIME_MARGIN * time if coordinator.orders_plain_work else time
+
+
+def _service_time(
+    coordinator: Coordinator, request: PermitRequest, output_tokens: Tokens
+) -> Seconds | None:
+    """Return the shortest run time on a server that could run a request, if any."""
     servers = coordinator.servers.values()
-    return fastest_service_time(servers, waiter.request, 0) or 0.0
+    if coordinator.orders_plain_work:
+        return mean_run_time(servers, request)
+    return fastest_service_time(servers, request, output_tokens)
 
 
 def _last_start(
@@ -118,6 +128,9 @@
     first_event = min(now + (request.patience or request.remaining), waiter.deadline)
     if request.may_have_run:
         return first_event
+    if coordinator.orders_plain_work:
+        idle = not coordinator.queue and len(coordinator.permits) < coordinator.slots()
+        return waiter.deadline - (1.0 if idle else RUN_TIME_MARGIN) * waiter.cost
     last = waiter.deadline - forecast.run_time(waiter.cost, now)
     if last <= now:
         needed, slots = waiter.cost, coordinator.slots()
@@ -192,6 +205,9 @@
     Those that may have run stay queued, since a refusal would be untrue.
     """
     effects: list[Effect] = []
+    if coordinator.orders_plain_work and coordinator.is_new(now):
+        # Its slots aren't known while hosts turn to it one after the other.
+        return effects
     slots = coordinator.slots() if waiters else 0.0
     for waiter in waiters:
         request_id = waiter.request.request_id
@@ -459,7 +475,8 @@
     ):
         if skipped >= MAX_SKIPPED or not chooser.has_free_slots:
             break
-        late = queue.is_late(waiter.request.request_id)
+        # Where no server is faster than another, a free slot isn't left for a better one.
+        late = coordinator.orders_plain_work or queue.is_late(waiter.request.request_id)
         caution = coordinator.caution_for(waiter.request, now)
         choice = chooser.choose(waiter, late=late, caution=caution)
         if choice is None:
@@ -513,7 +530,8 @@
     if record.allowance is not None:
         record.allowance.take()
     record.straggler.record_probe(now)
-    record.prefill_free_at = choice.first_token_at
+    if not coordinator.orders_plain_work:
+        record.prefill_free_at = choice.first_token_at
     record.prefixes.record_sent(waiter.request.prefixes, now)
     coordinator.permits.add(permit)
     trial = _start_trial(coordinator, permit, now)
--- a/src/amaranthferry/messages.py
+++ b/src/amaranthferry/messages.py
@@ -170,7 +170,8 @@
 
     `quota_usage` is the quota usage of each workspace by time bucket, the latest first;
     the host has recorded it for `usage_age` seconds. `limits` are those that servers
-    have named, as far as the host knows.
+    have named, as far as the host knows. `filling` tells that servers which each host
+    chooses for itself have rejected a request.
     """
 
     shard: ShardId
@@ -179,6 +180,7 @@
     quota_usage: dict[WorkspaceId, tuple[float, ...]] = {}
     usage_age: Seconds = 0.0
     limits: tuple[LimitWord, ...] = ()
+    filling: bool = False
 
 
 class UsageElsewhere(Message, frozen=True, tag="usage"):
--- a/src/amaranthferry/objectives.py
+++ b/src/amaranthferry/objectives.py
@@ -15,6 +15,7 @@
 import msgspec
 from sortedcontainers import SortedList
 
+from .contention.spreading import spread
 from .forecast import Ahead, Level
 from .lengths import LengthEstimate
 from .minimum_share import MinimumShares
@@ -285,8 +286,11 @@
         now: Seconds,
         limits: PlacementLimits,
         lengths: LengthEstimate,
+        *,
+        spreads: bool = False,
     ) -> None:
         self._now = now
+        self._spreads = spreads
         self._limits = limits
         self._lengths = lengths
         accepting = [record for record in records if record.accepts_work]
@@ -361,7 +365,7 @@
             if timely or self._may_be_timely(waiter, due):
                 predictions = timely
         return min(
-            predictions,
+            spread(predictions, request) if self._spreads else predictions,
             key=lambda item: cautious_cost(item, request, now, caution),
             default=None,
         )
--- a/src/amaranthferry/registration.py
+++ b/src/amaranthferry/registration.py
@@ -57,7 +57,11 @@
 
 
 def register_requests(
-    state: HostState, shard: ShardId, *, host: HostId | None = None
+    state: HostState,
+    shard: ShardId,
+    *,
+    host: HostId | None = None,
+    filling: bool = False,
 ) -> list[Effect]:
     """Register a shard's requests with a host, by default the one that decides now."""
     waiting = []
@@ -84,6 +88,7 @@
         quota_usage=dict(usage.usage(state.now)) if usage else {},
         usage_age=state.now - (state.started_at or state.now),
         limits=_limits_of(state, shard),
+        filling=filling,
     )
     return [SendToHost(host=target, message=message)]
 
--- a/src/amaranthferry/running.py
+++ b/src/amaranthferry/running.py
@@ -1,5 +1,6 @@
 """Handle dispatched requests until their outcome."""
 
+from .contention.sharing import announce_rejection, begin_by_rejection
 from .effects import (
     CancelDispatch,
     CloseClaim,
@@ -57,12 +58,18 @@
         return effects + refuse(state, req, RefusalReason.DRAINING, OTHER_HOST_RETRY)
     if event.by_server:
         req.tried_servers = (*req.tried_servers, _server_of(req))
+        shard = req.shard
+        shared = begin_by_rejection(state, shard)
         if req.may_redispatch and _spend_repeat_budget(state, req):
             req.transition_to(RequestState.WAITING)
+            if shared:
+                effects += announce_rejection(state, shard)
             return effects + request_permit(state, req)
         # A server that has turned work away gets none until then.
         retry_after = max(MIN_BACKOFF, state.pool_hold_off(req.arrival.pool))
         effects += refuse(state, req, RefusalReason.SERVER_REFUSED, retry_after)
+        if shared:
+            effects += announce_rejection(state, shard)
         return [*effects, _wasted_prefill(WasteCause.ENGINE_REFUSED, 0)]
     req.connection_retries += 1
     budget = state.budget(req.arrival.pool)
--- a/src/amaranthferry/state.py
+++ b/src/amaranthferry/state.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from .config import Deployment
+from .contention.orders import SharedOrder
 from .coordinator import Coordinator
 from .harm.ledger import HarmLedger
 from .leaving import LeavingServers, incarnation_of
@@ -100,6 +101,8 @@
     #: The hosts that decide for this one while coordinators don't answer.
     stand_ins: dict[ShardId, HostId] = {}
     absences: dict[ShardId, Absence] = {}
+    #: The shards decided locally for which a coordinator decides at the moment.
+    shared_orders: dict[ShardId, SharedOrder] = {}
     waits: dict[ShardId, tuple[Seconds, ...]] = {}
     last_received: dict[HostId, Seconds] = {}
     server_reports: dict[ServerId, dict[ServerStateSource, ServerState]] = {}
@@ -199,10 +202,19 @@
 
     def coordinator_of(self, shard: ShardId) -> HostId:
         """Return the host that coordinates a shard in this host's view."""
-        if self.deployment.rules_of(pool_of(shard)).decided_locally:
+        if self.is_decided_locally(shard):
             return self.host
         return self._assignment(shard).coordinator
 
+    def is_decided_locally(self, shard: ShardId) -> bool:
+        """Return whether each host decides on a shard's permits for itself now."""
+        rules = self.deployment.rules_of(pool_of(shard))
+        return rules.decided_locally and shard not in self.shared_orders
+
+    def assigned_coordinator(self, shard: ShardId) -> HostId:
+        """Return the host that decides on a shard where hosts don't for themselves."""
+        return self._assignment(shard).coordinator
+
     def trial_host(self, shard: ShardId) -> HostId:
         """Return the one host whose coordinator may try a shard's held subjects."""
         return self._assignment(shard).coordinator
