--- a/src/amaranthferry/catalog.py
+++ b/src/amaranthferry/catalog.py
@@ -18,6 +18,7 @@
     WorkClass,
     Workspace,
 )
+from .contention.connections import connections_per_host
 from .contention.orders import needs_shared_order
 from .types import (
     ClassId,
@@ -370,6 +371,11 @@
         repeat_refill=budget_limits.repeat_refill,
         decided_locally=plain,
         shared_when_full=shared,
+        kept_connections=(
+            connections_per_host(service.max_connections, budget_limits.hosts)
+            if shared
+            else 0
+        ),
         by_objective=shared or not plain,
         notice_interval=NOTICE_INTERVAL if shared or not plain else 0.0,
         rebuild_timeout=REBUILD_TIMEOUT,
--- a/src/amaranthferry/config.py
+++ b/src/amaranthferry/config.py
@@ -99,7 +99,8 @@
     The repeat budget is per host: the ratio of repeats to first dispatches, the burst
     of repeats, and the repeats refilled per second. A notice interval of 0 disables
     queue notices. A pool that is decided locally may be `shared_when_full`: the shard's
-    coordinator decides while its servers are full.
+    coordinator decides while its servers are full. Each host keeps at most
+    `kept_connections` to its servers, those in use among them.
     """
 
     repeat_ratio: float = 0.0
@@ -107,6 +108,7 @@
     repeat_refill: float = 0.0
     decided_locally: bool = False
     shared_when_full: bool = False
+    kept_connections: int = 0
     by_objective: bool = False
     notice_interval: Seconds = 0.0
     rebuild_timeout: Seconds = 2.0
--- a/src/amaranthferry/gateway/application.py
+++ b/src/amaranthferry/gateway/application.py
@@ -9,6 +9,7 @@
 
 from ..catalog import BudgetLimits, deployment_of
 from ..config import Deployment, HostConfig
+from ..contention.connections import IdleConnections
 from ..core import HostState
 from ..events import (
     CallerGone,
@@ -21,6 +22,7 @@
     SettingsApplied,
     Ticked,
 )
+from ..http_connection import HttpConnection
 from ..membership import Member, MembershipAgent
 from ..memory import AnswerMemory, BodyMemory, MemoryBudget
 from ..messages import Message, StoreUpdate, StoreUpdateRequest
@@ -140,6 +142,8 @@
         self._memory_budget = MemoryBudget.from_limit(settings.memory)
         self.answers = AnswerMemory(self._memory_budget.answers)
         self.answer_times = AnswerTimes()
+        #: Connections to servers that wait for another request.
+        self.connections = IdleConnections[HttpConnection]()
         self.bodies = BodyMemory(self._memory_budget.bodies)
         self._footprint = Footprint(settings.memory)
         #: The key that the hosts share; empty until it has been read.
@@ -337,6 +341,7 @@
         """Stop every component and abort the requests that still run."""
         await self._frontend.finish()
         await self._cancel_tasks()
+        self.connections.close_all()
         await self._close_peers()
         await self._store.stop()
         await self._metrics.stop()
@@ -538,6 +543,7 @@
             await asyncio.sleep(TICK_PERIOD)
             self.lateness.record(max(0.0, self.clock() - due), self.clock())
             self.servers.expire()
+            self.connections.expire(self.clock())
             if self.peers is not None and self._joining.has_just_ended(self.clock()):
                 self._set_hosts(*self._found_members)
             self._log_changes()
--- a/src/amaranthferry/gateway/dispatching.py
+++ b/src/amaranthferry/gateway/dispatching.py
@@ -10,6 +10,7 @@
 
 from ..catalog import Route, RouteKind
 from ..config import BackendServer
+from ..contention.connections import IdleConnections
 from ..events import (
     DispatchFailed,
     DispatchFinished,
@@ -115,6 +116,8 @@
         is_limited: Callable[[], bool],
         answers: AnswerMemory,
         times: AnswerTimes,
+        connections: IdleConnections[HttpConnection],
+        kept_connections: int,
     ) -> None:
         self._exchange = exchange
         self.decided_by = decided_by
@@ -126,6 +129,9 @@
         self._can_rerun = can_rerun
         self._is_limited = is_limited
         self._answers = answers
+        self._connections = connections
+        self._kept_connections = kept_connections
+        self._leaving = False
         self._times = times
         self._sent_at: Seconds = 0.0
         self._tokens: Tokens = 0
@@ -197,8 +203,16 @@
 
     async def run(self) -> None:
         """Send the request, relay its answer and report how it ended."""
+        self._connections.begin(self.service, limit=self._kept_connections)
         try:
-            self._conn = await HttpConnection.open(
+            await self._run()
+        finally:
+            self._connections.end(self.service)
+            self._release_connection()
+
+    async def _run(self) -> None:
+        try:
+            self._conn = self._take_connection() or await HttpConnection.open(
                 self._server.address, timeout=CONNECT_TIMEOUT
             )
         except (OSError, TimeoutError) as exc:
@@ -210,12 +224,44 @@
         except BaseException:
             self._conn.abort()
             raise
-        if end is _AnswerEnd.COMPLETE:
-            self._conn.close()
-        else:
+        if end is not _AnswerEnd.COMPLETE:
             self._conn.abort()
         self._report_end(end)
 
+    def _take_connection(self) -> HttpConnection | None:
+        """Return a kept connection for a request that could be repeated now.
+
+        If the server closes it at the same time, the request may have run.
+        """
+        route = self._call.route
+        repeats = self._exchange.dispatches < route.max_attempts
+        if not self._kept_connections or route.kind is not RouteKind.SAFE:
+            return None
+        if not (repeats and self._can_rerun()):
+            return None
+        return self._connections.take(self._incarnation, self._clock())
+
+    def _release_connection(self) -> None:
+        """Keep the connection of an answer that ended cleanly, or close it."""
+        conn = self._conn
+        if conn is None or not conn.connected:
+            return
+        kept = (
+            self._end is _AnswerEnd.COMPLETE
+            and not self._leaving
+            and conn.ended_cleanly
+            and self._connections.keep(
+                self._incarnation,
+                conn,
+                self._clock(),
+                service=self.service,
+                duration=conn.keep_alive_time,
+                limit=self._kept_connections,
+            )
+        )
+        if not kept:
+            conn.close()
+
     def _report_end(self, end: _AnswerEnd) -> None:
         self._end = end
         request_id = self._call.request_id
@@ -335,6 +381,7 @@
         if origin.is_of_server(call_attempt=self._call.params.attempt):
             self._report_limit(signed=origin.signed)
         if origin.leaving:
+            self._leaving = True
             self._report(
                 ServerLeavingSeen(now=self._clock(), incarnation=self._incarnation)
             )
--- a/src/amaranthferry/gateway/performer.py
+++ b/src/amaranthferry/gateway/performer.py
@@ -235,6 +235,8 @@
         times=app.answer_times,
         is_limited=lambda: app.state.server_rates.is_limited(incarnation),
         answers=app.answers,
+        connections=app.connections,
+        kept_connections=app.state.deployment.rules_of(server.pool).kept_connections,
     )
     exchange.task = app.spawn(dispatch.run())
     exchange.task.add_done_callback(
--- a/src/amaranthferry/http_connection.py
+++ b/src/amaranthferry/http_connection.py
@@ -1,6 +1,8 @@
 """Send HTTP/1.1 requests over a connection, one at a time."""
 
 import asyncio
+import re
+import select
 import socket
 from collections import deque
 from collections.abc import Callable, Iterable
@@ -30,6 +32,12 @@
 UNACKNOWLEDGED_TIMEOUT: Seconds = 3.0
 
 
+#: What ends the head of an answer.
+HEAD_END = b"\r\n\r\n"
+_KEEP_ALIVE_TIME = re.compile(
+    r"(?:^|[,;\s])timeout=(\d{1,6})(?:$|[,;\s])", re.IGNORECASE
+)
+
 #: Takes received bytes at once, or returns False to have them buffered.
 Sink = Callable[[bytes], bool]
 
@@ -122,6 +130,9 @@
         self._sink: Sink | None = None
         self._sink_error: BrokenAnswer | None = None
         self._keep_alive = False
+        #: The head until its end is found, and its size; -1 if it has no such end.
+        self._head = bytearray()
+        self._head_size = 0
         #: Whether the peer has closed the connection in order, not by a reset.
         self.closed_by_peer = False
 
@@ -144,6 +155,39 @@
             and self.connected
         )
 
+    @property
+    def ended_cleanly(self) -> bool:
+        """Return whether the answer ended where its length says, without a byte more.
+
+        The parser ignores some bytes after an answer, so these are counted.
+        """
+        if self._start is None or self._start.framing is not AnswerFraming.LENGTH:
+            return False
+        expected = self._head_size + self._body_bytes
+        return self.reusable and self._head_size > 0 and self._received == expected
+
+    @property
+    def keep_alive_time(self) -> Seconds:
+        """Return how long the server keeps the idle connection, as far as it says."""
+        fields = self._start.fields() if self._start is not None else {}
+        match = _KEEP_ALIVE_TIME.search(fields.get("keep-alive", ""))
+        return float(match[1]) if match else 0.0
+
+    @property
+    def is_quiet(self) -> bool:
+        """Return whether the connection is open, and nothing waits to be read from it.
+
+        The end of the connection may have been received without having been read.
+        """
+        if self._transport is None or self._error is not None or not self.connected:
+            return False
+        sock = self._transport.get_extra_info("socket")
+        if sock is None:
+            return True
+        poll = select.poll()
+        poll.register(sock.fileno(), select.POLLIN | select.POLLHUP | select.POLLERR)
+        return not poll.poll(0)
+
     @property
     def body_size(self) -> int:
         """Return the bytes of the answer's body that have been received."""
@@ -185,6 +229,8 @@
             return
         before = self._body_bytes
         self._received += len(data)
+        if not self._head_size:
+            self._find_head_end(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -196,6 +242,20 @@
         if not self._pass_on() or self._complete or self._error is not None:
             self._wake()
 
+    def _find_head_end(self, data: bytes) -> None:
+        if self._start is not None or self._error is not None:
+            # The parser has found an end that isn't the usual one, or an error.
+            self._head_size = -1
+            self._head.clear()
+            return
+        head = self._head + data if self._head else data
+        end = head.find(HEAD_END)
+        if end < 0:
+            self._head += data
+            return
+        self._head_size = end + len(HEAD_END)
+        self._head.clear()
+
     def _limit_overhead(self, received: int, body: int) -> None:
         """Fail an answer with too many bytes that are no body, in all or in a row."""
         self._bodiless_bytes = 0 if body else self._bodiless_bytes + received
@@ -275,6 +335,8 @@
         self._chunks.clear()
         self._parts.clear()
         self._buffered = self._received = self._bodiless_bytes = 0
+        self._head.clear()
+        self._head_size = 0
         self._body_bytes = self._part_count = 0
         lines = [f"{method} {target} HTTP/1.1"]
         lines += [f"{name}: {value}" for name, value in headers]
--- a/src/amaranthferry/standins/routed.py
+++ b/src/amaranthferry/standins/routed.py
@@ -86,6 +86,10 @@
         self.leaving = False
         #: Limit that the server names in all its answers, or nothing.
         self.limit = ""
+        #: Value of the header that tells how long idle connections are kept, or nothing.
+        self.keep_alive = ""
+        #: The port of the caller of each request, which tells connections apart.
+        self.caller_ports: list[int] = []
         #: Hashes of prompt parts that end the process once an answer begins on them.
         self.harmful_parts: frozenset[str] = frozenset()
         #: The fault that a request meets by what it is, whatever the current one is.
@@ -108,9 +112,12 @@
         """Answer one request over ASGI."""
         if scope["type"] == "http":
             request = Request(scope, receive)
+            self.caller_ports.append(scope["client"][1])
             response = await self._answer(request)
             if self.leaving:
                 response.headers["Server-Leaving"] = "1"
+            if self.keep_alive:
+                response.headers["Keep-Alive"] = self.keep_alive
             if self.limit:
                 response.headers["Server-Limit"] = self.limit
             await response(scope, receive, send)
