--- a/src/amaranthferry/contention/sharing.py
+++ b/src/amaranthferry/contention/sharing.py
@@ -6,7 +6,7 @@
 from ..registration import LAST_REGISTRATIONS, register_requests
 from ..shards import pool_of
 from ..state import HostState
-from ..types import HostId, Seconds, ShardId
+from ..types import HostId, Seconds, ServerId, ShardId
 from .orders import HEARING_TIME, LEASE, SharedOrder, reserved_limit
 
 
@@ -15,9 +15,12 @@
     return state.deployment.rules_of(pool_of(shard)).shared_when_full
 
 
-def begin_by_rejection(state: HostState, shard: ShardId) -> bool:
-    """Follow a shared order from a rejection on; return whether others are to know."""
-    if not may_share(state, shard):
+def begin_by_rejection(state: HostState, shard: ShardId, server: ServerId) -> bool:
+    """Follow a shared order from a rejection on; return whether others are to know.
+
+    A server that leaves rejects requests however few it has.
+    """
+    if not may_share(state, shard) or state.is_leaving(server):
         return False
     return _begin(state, shard)
 
--- a/src/amaranthferry/events.py
+++ b/src/amaranthferry/events.py
@@ -167,11 +167,12 @@
     """Report an unexecuted dispatch: refused by the server, or never sent to it.
 
     Or the host gave it up before it was sent, at the deadline of the request or since the
-    host stops.
+    host stops. A misdirected one was refused by another server at the same address.
     """
 
     request_id: RequestId
     by_server: bool = False
+    misdirected: bool = False
     timed_out: bool = False
     host_stops: bool = False
 
--- a/src/amaranthferry/gateway/dispatching.py
+++ b/src/amaranthferry/gateway/dispatching.py
@@ -131,7 +131,7 @@
         self._answers = answers
         self._connections = connections
         self._kept_connections = kept_connections
-        self._leaving = False
+        self._leaving = self._misdirected = False
         self._times = times
         self._sent_at: Seconds = 0.0
         self._tokens: Tokens = 0
@@ -291,7 +291,10 @@
 
     def _refused(self, *, by_server: bool) -> DispatchRefused:
         return DispatchRefused(
-            now=self._clock(), request_id=self._call.request_id, by_server=by_server
+            now=self._clock(),
+            request_id=self._call.request_id,
+            by_server=by_server,
+            misdirected=self._misdirected,
         )
 
     async def _exchange_messages(self, conn: HttpConnection) -> _AnswerEnd:
@@ -394,6 +397,7 @@
                 )
             )
         if origin.not_executed:
+            self._misdirected = origin.misdirected
             self._log(
                 LogEvent.DISPATCH_NOT_RUN,
                 service=self.service,
--- a/src/amaranthferry/running.py
+++ b/src/amaranthferry/running.py
@@ -59,7 +59,9 @@
     if event.by_server:
         req.tried_servers = (*req.tried_servers, _server_of(req))
         shard = req.shard
-        shared = begin_by_rejection(state, shard)
+        shared = not event.misdirected and begin_by_rejection(
+            state, shard, _server_of(req)
+        )
         if req.may_redispatch and _spend_repeat_budget(state, req):
             req.transition_to(RequestState.WAITING)
             if shared:
--- a/tests/contention/test_orders.py
+++ b/tests/contention/test_orders.py
@@ -15,6 +15,7 @@
 from amaranthferry.core import reduce
 from amaranthferry.effects import SendToHost
 from amaranthferry.events import DispatchRefused, PeerReceived, Ticked
+from amaranthferry.leaving import incarnation_of
 from amaranthferry.messages import PermitRequest, Registration, ShardAdvert
 from amaranthferry.types import ServerState
 from tests.plain_fleet import SHARD, URGENT, PlainFleet
@@ -132,13 +133,13 @@
         return SHARD in self.fleet.hosts[host or self.host].shared_orders
 
 
-def reject(hosts):
+def reject(hosts, **fields):
     """Let a server reject a request of a host."""
     fleet = hosts.fleet
     request = fleet.send(hosts.host, URGENT)
     fleet.run(0)
     fleet.jobs.clear()
-    refused = DispatchRefused(now=0.01, request_id=request, by_server=True)
+    refused = DispatchRefused(now=0.01, request_id=request, by_server=True, **fields)
     return request, hosts.reduce(refused)
 
 
@@ -155,6 +156,28 @@
     assert isinstance(asked, PermitRequest)
 
 
+def test_answer_of_another_server_begins_no_order():
+    hosts = Hosts()
+    _, sent = reject(hosts, misdirected=True)
+    assert {effect.host for effect in sent} == {hosts.host}
+    assert not hosts.follows()
+
+
+def test_rejection_by_a_server_that_leaves_begins_no_order():
+    hosts = Hosts()
+    fleet = hosts.fleet
+    request = fleet.send(hosts.host, URGENT)
+    fleet.run(0)
+    fleet.jobs.clear()
+    state = fleet.hosts[hosts.host]
+    for server in fleet.servers:
+        state.leaving.add(incarnation_of(state.deployment, server), 0.0)
+    assert state.requests[request].is_running
+    refused = DispatchRefused(now=0.01, request_id=request, by_server=True)
+    hosts.reduce(refused)
+    assert not hosts.follows()
+
+
 def test_rejection_elsewhere_sends_no_message():
     hosts = Hosts(shared=False)
     _, sent = reject(hosts)
@@ -242,3 +265,36 @@
 
     # It was told at 1.0 and has heard nothing since.
     assert not any(adverts(1.0 + tick * 0.05) for tick in range(25, 50))
+
+
+def test_waiters_are_kept_when_a_pool_begins_to_be_shared():
+    fleet = PlainFleet(hosts=19, load=0, shared=False)
+    host = fleet.names[0]
+    waiting = [fleet.send(host, URGENT) for _ in range(30)]
+    fleet.run(0)
+    decider = fleet.hosts[host].coordinators[SHARD]
+    queued = {waiter.request.request_id for waiter in decider.queue}
+    assert queued
+    fleet.shared = True
+    fleet.list_servers()
+    assert fleet.hosts[host].deployment.rules_of(LEDGER).shared_when_full
+    # All slots may be used now, so some are granted at once.
+    waits = {waiter.request.request_id for waiter in decider.queue}
+    fleet.run(0)
+    assert waits
+    assert queued - waits <= fleet.dispatched_at.keys()
+    fleet.run(1)
+    assert set(waiting) == set(fleet.answered)
+
+
+def test_order_ends_where_its_rule_no_longer_holds():
+    fleet = PlainFleet(hosts=19, load=1.5)
+    fleet.run(4)
+    assert fleet.ordered_hosts
+    fleet.shared = False
+    fleet.list_servers()
+    fleet.run(0.2)
+    assert fleet.ordered_hosts == set()
+    fleet.load = 0
+    fleet.run(5)
+    assert not any(state.requests for state in fleet.hosts.values())
