--- a/src/amaranthferry/gateway/log_events.py
+++ b/src/amaranthferry/gateway/log_events.py
@@ -84,6 +84,18 @@
     HOSTS_NOT_READ = "hosts.not_read"  # problem
     HOST_ENTRY_UNREADABLE = "host_entry.unreadable"  # name
 
+    # Rollouts: service, version, state or stage, with the reason.
+    ROLLOUT_SEEN = "rollout.seen"  # state, duration, revision
+    ROLLOUT_UNREADABLE = "rollout.unreadable"  # name, revision
+    # stage, before, step, pace, reason, requests, exposed: what this host does
+    ROLLOUT_STEP = "rollout.step"
+    # stage, before, reason, age, hosts, requests, exposed: by the host that decides
+    ROLLOUT_DECIDED = "rollout.decided"
+    ROLLOUT_UNDECIDED = "rollout.undecided"  # stage, silent
+    ROLLOUT_WRITTEN = "rollout.written"  # state, revision
+    ROLLOUT_NOT_WRITTEN = "rollout.not_written"  # state, problem
+    ROLLOUT_ENDED = "rollout.ended"  # state, requests, exposed
+
     # Decisions about requests.
     REQUEST_HELD = "request.held"  # request_id, kind, part, held_for, ends, trials
     REQUEST_MALFORMED = "request.malformed"  # status, problem
--- a/src/amaranthferry/platform/desired.py
+++ b/src/amaranthferry/platform/desired.py
@@ -19,6 +19,7 @@
 )
 from ..exceptions import SettingsError
 from ..replica.items import convert_items
+from ..rollout.orders import RolloutOrder, RolloutStatus
 from ..types import (
     ModelId,
     PoolId,
@@ -34,6 +35,7 @@
 CONFIG_NAME = "main"
 MAX_PORT = 65_535
 MAX_PORT_DIGITS = 5
+ROLLOUT_KIND = "rollouts"
 SERVER_KIND = "servers"
 _Part = TypeVar("_Part", bound=msgspec.Struct)
 _KINDS = {
@@ -128,6 +130,12 @@
     version: Any = ""
 
 
+class _Rollout(msgspec.Struct, rename="camel"):
+    service: str
+    to: str | int
+    duration_s: Annotated[float, msgspec.Meta(gt=0)]
+
+
 def read_catalog(spec: Any) -> Catalog:
     """Build the catalog from a stored configuration; raise SettingsError."""
     try:
@@ -284,3 +292,14 @@
         incarnation=entry.born,
         version=version,
     )
+
+
+def read_order(name: str, spec: Any, status: Any) -> RolloutOrder | None:
+    """Build an order from a stored rollout; return None for one that can't be read."""
+    try:
+        item = msgspec.convert(spec, _Rollout)
+        told = msgspec.convert(status, RolloutStatus | None)
+    except msgspec.ValidationError:
+        return None
+    service = PoolId(item.service)
+    return RolloutOrder.from_parts(name, service, item.to, item.duration_s, told)
--- a/src/amaranthferry/platform/store.py
+++ b/src/amaranthferry/platform/store.py
@@ -10,6 +10,7 @@
 from ..config import MEBIBYTE
 from ..exceptions import (
     DECODE_ERRORS,
+    AmaranthferryError,
     AnswerLost,
     StoreUnavailable,
     VersionConflict,
@@ -190,7 +191,17 @@
     async def create(self, kind: str, name: str, spec: Any) -> StoredObject:
         """Create an object; raise VersionConflict when it exists."""
         body = {"metadata": {"name": name}, "spec": spec}
-        answer = await self._call("POST", f"/objects/{kind}", msgspec.json.encode(body))
+        return await self._write("POST", f"/objects/{kind}", body)
+
+    async def put_status(
+        self, kind: str, name: str, revision: int, status: Any
+    ) -> StoredObject:
+        """Write a status; raise VersionConflict if the object has another revision."""
+        body = {"metadata": {"name": name, "revision": revision}, "status": status}
+        return await self._write("PUT", f"{_path(kind, name)}/status", body)
+
+    async def _write(self, method: str, path: str, body: Any) -> StoredObject:
+        answer = await self._call(method, path, msgspec.json.encode(body))
         try:
             return _decode(answer.body, StoredObject)
         except StoreUnavailable as exc:
@@ -271,7 +282,7 @@
             conn.close()
 
 
-class _NotFound(Exception):  # noqa: N818
+class _NotFound(AmaranthferryError):  # noqa: N818
     """Report that an object does not exist; internal to this module."""
 
 
@@ -288,7 +299,7 @@
     if status < 300:
         return body
     if status == 404:
-        raise _NotFound
+        raise _NotFound("There is no such object.", remedy="Read the objects again.")
     if status == 409:
         raise VersionConflict(
             "The object exists already or has another version.",
--- a/src/amaranthferry/replica/watching.py
+++ b/src/amaranthferry/replica/watching.py
@@ -1,7 +1,8 @@
 """Watch one kind of objects in the store and retain recent changes for peers."""
 
 from collections.abc import Callable, Iterable
-from typing import Protocol
+from operator import attrgetter
+from typing import Any, Protocol
 
 import structlog
 from msgspec.structs import replace
@@ -73,8 +74,10 @@
         freshness: Freshness,
         *,
         max_kept_bytes: int = DEFAULT_MAX_BYTES,
+        contents_of: Callable[[StoredObject], Any] = attrgetter("spec"),
     ) -> None:
         self.kind = kind
+        self._contents_of = contents_of
         self.freshness = freshness
         self.position: Position | None = None
         self.on_change: Callable[[int], None] = lambda since: None
@@ -148,7 +151,7 @@
         if before is None or listing.position >= before:
             self._history.reset(listing.revision)
             self.position = listing.position
-            objects = [_to_change(item) for item in listing.entries]
+            objects = [self._to_change(item) for item in listing.entries]
             if before is None or listing.era == before.era:
                 self._cache.replace(objects)
             else:
@@ -174,10 +177,19 @@
         if changes.era != self.era:
             return
         self._mark_available(sent)
-        found = [_read_change(item, changes.at) for item in changes.events]
+        found = [self._read_change(item, changes.at) for item in changes.events]
         self.advance(found, changes.at)
         self.confirm(sent)
 
+    def _read_change(self, item: Change, at: int) -> ObjectChange:
+        """Return a change; a removal may name the revision of the last write before."""
+        change = self._to_change(item.object, item.deleted)
+        return replace(change, revision=at) if item.deleted else change
+
+    def _to_change(self, item: StoredObject, deleted: bool = False) -> ObjectChange:
+        contents = self._contents_of(item)
+        return ObjectChange(item.name, item.revision, deleted, contents)
+
     def advance(self, changes: list[ObjectChange], revision: int) -> None:
         """Apply the changes up to a revision, except those already known."""
         before = self.revision or 0
@@ -333,13 +345,3 @@
             f"The store answered from {found}, older than the known {known}.",
             remedy="Check that a restored store raises its era.",
         )
-
-
-def _read_change(item: Change, at: int) -> ObjectChange:
-    """Return a change; a removal may name the revision of the last write before it."""
-    change = _to_change(item.object, item.deleted)
-    return replace(change, revision=at) if item.deleted else change
-
-
-def _to_change(item: StoredObject, deleted: bool = False) -> ObjectChange:
-    return ObjectChange(item.name, item.revision, deleted, item.spec)
--- a/src/amaranthferry/standins/deployment.py
+++ b/src/amaranthferry/standins/deployment.py
@@ -18,6 +18,10 @@
 GRACE_TIME: Seconds = 8.0
 HEARTBEAT: Seconds = 1.0
 MEMORY_LIMIT_MB = 136
+#: Bounds of the requests that an unproven version gets, and of its rollback.
+EXPOSURE_SHARE = 0.1
+EXPOSURE_SLACK = 50
+ROLLBACK_BOUND: Seconds = 5.0
 #: Prompt parts: engines end when they begin an answer on the harmful one.
 HARMFUL_PART = "bad"
 #: Last part of the path of the request that ends servers.
@@ -149,6 +153,7 @@
     grace: Seconds = GRACE_TIME,
     processor: float = 1.0,
     memory_mb: int = MEMORY_LIMIT_MB,
+    rollouts: bool = False,
 ) -> str:
     """Return the settings file of a host with four addresses on one IP address."""
     ip = addresses[0].partition(":")[0]
@@ -170,6 +175,13 @@
         "limits.cpuShare": processor,
         "limits.memoryMb": memory_mb,
     }
+    if rollouts:
+        lines |= {
+            "contracts": "rollout",
+            "bounds.exposureShare": EXPOSURE_SHARE,
+            "bounds.exposureSlack": EXPOSURE_SLACK,
+            "bounds.rollbackMs": int(ROLLBACK_BOUND * 1_000),
+        }
     return "".join(f"{key}={value}\n" for key, value in lines.items())
 
 
--- a/src/amaranthferry/standins/metadata.py
+++ b/src/amaranthferry/standins/metadata.py
@@ -44,6 +44,7 @@
     revision: int
     spec: Any
     created: int
+    status: Any = None
 
     def to_dict(self) -> dict[str, Any]:
         metadata = {
@@ -53,7 +54,7 @@
             "finalizers": [],
             "deletionPending": False,
         }
-        return {"metadata": metadata, "spec": self.spec, "status": None}
+        return {"metadata": metadata, "spec": self.spec, "status": self.status}
 
 
 class _Change(msgspec.Struct):
@@ -78,6 +79,11 @@
                     store.handle_object,
                     methods=["GET", "PUT", "DELETE"],
                 ),
+                Route(
+                    "/objects/{kind}/{name}/status",
+                    store.handle_status,
+                    methods=["PUT"],
+                ),
             ]
         )
         self.app.state.view = self
@@ -93,6 +99,8 @@
         self.fault = StoreFault.NONE
         self.delay: Seconds = 0.0
         self.calls: list[tuple[str, str]] = []
+        #: The statuses that have been written, with the kind and name of the object.
+        self.statuses: list[tuple[str, str, Any]] = []
         self.era = 1
         self._revision = 1
         self._kinds: dict[str, dict[str, _Object]] = {}
@@ -151,6 +159,10 @@
         """Return the specs of a kind by name."""
         return {name: item.spec for name, item in self._kinds.get(kind, {}).items()}
 
+    def status(self, kind: str, name: str) -> Any:
+        """Return the status of an object."""
+        return self._kinds[kind][name].status
+
     async def _record(self, change: _Change) -> None:
         change.made_at = time.monotonic()
         self._history.append(change)
@@ -175,6 +187,12 @@
             return await self._answer(request, self._delete(kind, name))
         return await self._answer(request, self._get(kind, name))
 
+    async def handle_status(self, request: Request) -> Response:
+        """Answer a conditional write of an object's status."""
+        kind, name = request.path_params["kind"], request.path_params["name"]
+        body = await request.json()
+        return await self._answer(request, self._put_status(kind, name, body))
+
     async def _answer(self, request: Request, operation: Any) -> Response:
         self.calls.append((request.method, request.url.path))
         view: StoreView = request.app.state.view
@@ -231,6 +249,19 @@
         await self.put(kind, name, body.get("spec"))
         return 200, self._kinds[kind][name].to_dict()
 
+    async def _put_status(self, kind: str, name: str, body: Any) -> tuple[int, Any]:
+        item = self._kinds.get(kind, {}).get(name)
+        if item is None:
+            return 404, {"error": "missing"}
+        if body["metadata"]["revision"] != item.revision:
+            return 409, item.to_dict()
+        self._revision += 1
+        written = _Object(name, self._revision, item.spec, item.created, body["status"])
+        self._kinds[kind][name] = written
+        self.statuses.append((kind, name, body["status"]))
+        await self._record(_Change(kind, self._revision, written, deleted=False))
+        return 200, written.to_dict()
+
     async def _delete(self, kind: str, name: str) -> tuple[int, Any]:
         if name not in self._kinds.get(kind, {}):
             return 404, {"error": "missing"}
