--- a/src/amaranthferry/codec.py
+++ b/src/amaranthferry/codec.py
@@ -5,6 +5,7 @@
 from . import messages, settings_messages
 from .exceptions import DECODE_ERRORS, FrameError
 from .messages import Message
+from .rollout import messages as rollout_messages
 
 PeerMessage = (
     messages.PermitRequest
@@ -32,6 +33,8 @@
     | settings_messages.SettingsRoot
     | settings_messages.SettingsChunkRequest
     | settings_messages.SettingsChunk
+    | rollout_messages.RolloutReport
+    | rollout_messages.RolloutStep
 )
 
 _encoder = msgspec.msgpack.Encoder()
