--- a/src/amaranthferry/entry.py
+++ b/src/amaranthferry/entry.py
@@ -146,6 +146,8 @@
     """Request a permit from a shard's coordinator, unless the deadline has passed."""
     if req.deadline <= state.now:
         return refuse_expired(state, req)
+    if state.versions is not None:
+        state.versions.assign(req)
     req.shard = _choose_shard(state, req)
     req.requested_at = state.now
     state.registrations_left[req.shard] = LAST_REGISTRATIONS
@@ -191,6 +193,10 @@
         return [*returned, *request_permit(state, req)]
     if state.is_leaving(message.server):
         return _decline(state, req, event.sender, message)
+    if state.versions is not None and state.versions.refuses(req, message.server):
+        reason = ReturnReason.VERSION_WITHHELD
+        returned = _return_grant(state, event.sender, message, reason)
+        return [*returned, *request_permit(state, req)]
     hold_off = state.hold_off(message.server)
     if hold_off > 0:
         returned = _return_grant(
--- a/src/amaranthferry/gateway/application.py
+++ b/src/amaranthferry/gateway/application.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from collections.abc import Callable
 from typing import Self
 
 import msgspec
@@ -25,7 +26,7 @@
 from ..memory import AnswerMemory, BodyMemory, MemoryBudget
 from ..messages import Message, StoreUpdate, StoreUpdateRequest
 from ..peers import PeerNetwork
-from ..platform.desired import CONFIG_KIND, SERVER_KIND
+from ..platform.desired import CONFIG_KIND, ROLLOUT_KIND, SERVER_KIND, read_order
 from ..platform.settings import Bounds, HostSettings
 from ..platform.store import StoreClient
 from ..replica.budget import AgeBudget
@@ -34,11 +35,15 @@
 from ..replica.presence import HostDirectory, HostEntry
 from ..replica.store_sync import StoreSync
 from ..replica.watching import KindReader, SyncState
+from ..rollout.agent import RolloutAgent
+from ..rollout.gate import VersionsChanged
+from ..rollout.messages import RolloutReport, RolloutStep
+from ..rollout.store import RolloutStore, contents_of
 from ..running import can_rerun
 from ..shards import capable_hosts
 from ..shell import Shell
 from ..supervision import keep_running
-from ..types import HostId, RequestId, Seconds, ShardId, StoreEra
+from ..types import HostId, Position, RequestId, Seconds, ShardId, StoreEra
 from .decisions import log_waiting
 from .dispatching import RoutedCall
 from .edge import Edge, Receive, Scope, Send
@@ -106,6 +111,16 @@
     )
 
 
+def _each(*states: SyncState) -> Callable[[Position, Seconds], None]:
+    """Return a function that has each of some states confirmed by another's read."""
+
+    def confirm(found: Position, sent: Seconds) -> None:
+        for state in states:
+            state.confirm_unchanged(found, sent)
+
+    return confirm
+
+
 class Gateway(Shell):
     """Run an entry host for routed requests with all its components."""
 
@@ -169,6 +184,7 @@
         self._waiting_logged_at: Seconds = 0.0
         self._roles: tuple[dict[ShardId, HostId], tuple[ShardId, ...]] = ({}, ())
         self._performer = Performer(self)
+        self.rollouts = self._create_rollouts()
         self.syncs = self._create_syncs()
         self._edge = Edge(self)
         self._frontend = Listener(self._edge, settings.frontend)
@@ -197,10 +213,13 @@
             Freshness(self.settings.bounds.revoke, self.age_budget),
             max_kept_bytes=max_kept_bytes,
         )
-        states = (config, servers)
+        states = (config, servers, *self._rollout_states(max_kept_bytes))
         readers = {state.kind: KindReader(self._store, state) for state in states}
         readers[CONFIG_KIND].on_read = servers.confirm_unchanged
         readers[SERVER_KIND].on_read = config.confirm_unchanged
+        for state in states[2:]:
+            readers[CONFIG_KIND].on_read = _each(servers, state)
+            readers[SERVER_KIND].on_read = _each(config, state)
         return {
             state.kind: StoreSync(
                 self.settings.host,
@@ -214,6 +233,35 @@
             for order, state in enumerate(states)
         }
 
+    def _create_rollouts(self) -> RolloutAgent | None:
+        """Return what follows the operator's orders, where rollouts are enabled."""
+        if not self.settings.rollouts:
+            return None
+        return RolloutAgent(
+            self.state,
+            self.settings.bounds,
+            read=read_order,
+            store=RolloutStore(self._store),
+            send=self._send,
+            spawn=self.spawn,
+            refresh=self._apply_deployment,
+            changed=lambda: self.handle(VersionsChanged(now=self.clock())),
+            clock=self.clock,
+        )
+
+    def _rollout_states(self, max_kept_bytes: int) -> tuple[SyncState, ...]:
+        if self.rollouts is None:
+            return ()
+        freshness = Freshness(self.settings.bounds.revoke, self.age_budget)
+        state = SyncState(
+            ROLLOUT_KIND,
+            self.rollouts.cache,
+            freshness,
+            max_kept_bytes=max_kept_bytes,
+            contents_of=contents_of,
+        )
+        return (state,)
+
     def _send(self, host: HostId, message: Message) -> bool:
         return self.peers is not None and self.peers.send(host, message)
 
@@ -370,7 +418,11 @@
             self.state.deployment.pools
         )
         now = self.clock()
-        fresh = all(sync.state.freshness.is_ready(now) for sync in self.syncs.values())
+        # Without the orders of rollouts, new versions get no work; the rest is served.
+        fresh = all(
+            self.syncs[kind].state.freshness.is_ready(now)
+            for kind in (CONFIG_KIND, SERVER_KIND)
+        )
         initialized = self._initialized.is_set()
         return initialized and configured and fresh and not self.stopping
 
@@ -421,6 +473,10 @@
             if sync is not None:
                 sync.receive(sender, message)
             return
+        if isinstance(message, RolloutReport | RolloutStep):
+            if self.rollouts is not None:
+                self.rollouts.receive(sender, message)
+            return
         self.handle(PeerReceived(now=self.clock(), sender=sender, message=message))
 
     def _handle_peer_lost(self, host: HostId) -> None:
@@ -524,6 +580,9 @@
         deployment = deployment_of(
             catalog, self.servers.roster.instances, self._budget_limits()
         )
+        if self.rollouts is not None:
+            drained = self.rollouts.drained(self.servers.roster.instances)
+            deployment = msgspec.structs.replace(deployment, drained=drained)
         self.handle(SettingsApplied(now=self.clock(), deployment=deployment))
         self._check_initialized()
 
@@ -540,6 +599,8 @@
             if self.peers is not None and self._joining.has_just_ended(self.clock()):
                 self._set_hosts(*self._found_members)
             self._log_changes()
+            if self.rollouts is not None:
+                self.rollouts.tick()
             self.handle(Ticked(now=self.clock()))
 
     def _log_changes(self) -> None:
--- a/src/amaranthferry/gateway/performer.py
+++ b/src/amaranthferry/gateway/performer.py
@@ -1,6 +1,7 @@
 """Perform the reducer's effects for routed requests."""
 
 import asyncio
+from collections.abc import Callable
 from functools import singledispatch
 from typing import TYPE_CHECKING
 
@@ -32,6 +33,7 @@
     DeadlinePassed,
     DispatchFailed,
     DispatchRefused,
+    Event,
     PeerLost,
     PeerReceived,
 )
@@ -223,10 +225,20 @@
         waited=round(waited, 4),
         decided_by=decided_by,
     )
+    report: Callable[[Event], None] = app.handle
+    if app.rollouts is not None:
+        report = app.rollouts.watch(
+            server.pool,
+            effect.request_id,
+            exchange.call.route.name,
+            server.name,
+            streaming=exchange.call.streaming,
+            report=report,
+        )
     dispatch = dispatching.Dispatch(
         exchange,
         server,
-        app.handle,
+        report,
         incarnation=incarnation,
         decided_by=decided_by,
         clock=app.clock,
@@ -265,6 +277,13 @@
         # The request may have run, and nothing else would end it before its deadline.
         exchange.unknown_dispatches += 1
         app.handle(DispatchFailed(now=app.clock(), request_id=request_id))
+    if app.rollouts is not None:
+        app.rollouts.close(
+            dispatch.service,
+            request_id,
+            dispatch.server,
+            timed_out=task.cancelled() and exchange.timed_out,
+        )
     route = exchange.call.route.name
     app.telemetry.dispatches.add(route, dispatch.end, dispatch.framing or "")
     if dispatch.rejected:
--- a/src/amaranthferry/granting.py
+++ b/src/amaranthferry/granting.py
@@ -10,6 +10,7 @@
 from .messages import PermitGrant, PermitRefusal, PermitRequest, Registration
 from .objectives import MAX_SKIPPED, ObjectiveQueue
 from .placement import Caution, Prediction, fastest_service_time
+from .requests import NO_SERVER
 from .servers import Permit
 from .types import HostId, RefusalReason, Seconds
 from .wait_queue import Lane, Waiter, WaitQueue
@@ -34,16 +35,27 @@
         if permit.host != host:
             return []
         return [_grant_effect(coordinator, permit, now)]
-    if request.request_id in coordinator.queue or coordinator.permits.is_closed(
-        request
-    ):
+    if coordinator.permits.is_closed(request):
+        return []
+    waiter = coordinator.queue.get(request.request_id)
+    if waiter is not None and not _replaces(request, waiter.request):
         return []
+    if waiter is not None:
+        coordinator.queue.remove(request.request_id)
+        coordinator.fair_share.refund(waiter.request, waiter.cost)
     hold = coordinator.hold_of(request, now)
     if hold is not None:
         return _refuse_for(coordinator, request, host, hold)
     return _enqueue_allowed(coordinator, request, host, now)
 
 
+def _replaces(request: PermitRequest, queued: PermitRequest) -> bool:
+    """Return whether a request excludes other servers than one that is queued."""
+    if NO_SERVER not in request.excluded:
+        return False
+    return len(request.excluded) > len(queued.excluded)
+
+
 def _enqueue_allowed(
     coordinator: Coordinator, request: PermitRequest, host: HostId, now: Seconds
 ) -> list[Effect]:
--- a/src/amaranthferry/requests.py
+++ b/src/amaranthferry/requests.py
@@ -10,6 +10,8 @@
 FINAL_STATES = frozenset(
     {RequestState.DONE, RequestState.NOT_RUN, RequestState.UNKNOWN}
 )
+#: Name of no server, which marks a permit request that replaces an earlier one.
+NO_SERVER = ServerId("")
 RUNNING_STATES = frozenset({RequestState.DISPATCHED, RequestState.ANSWERING})
 
 _NEXT_STATES = {
@@ -74,6 +76,12 @@
     alone_subjects: tuple[int, ...] = ()
     familiar_parts: tuple[int, ...] = ()
     caller_gone: bool = False
+    #: Servers whose version this attempt may not get, during a rollout.
+    barred: tuple[ServerId, ...] = ()
+    #: Whether this attempt goes to a version that is unproven.
+    exposed: bool = False
+    #: Least number of excluded servers, by which coordinators tell attempts apart.
+    least_excluded: int = 0
 
     @classmethod
     def from_arrival(cls, arrival: RequestArrived, deployment: Deployment) -> "Request":
@@ -117,6 +125,22 @@
             raise AssertionError(f"Request can't change from {self.state} to {state}.")
         self.state = state
 
+    def bar(self, servers: tuple[ServerId, ...]) -> None:
+        """Exclude the servers of other versions from the next permit request."""
+        if self.requested_at and (self.barred or servers):
+            self.least_excluded = len(self._excluded()) + 1
+        self.barred = servers
+
+    def _excluded(self) -> tuple[ServerId, ...]:
+        """Return the servers that the next permit request excludes.
+
+        A request that replaces another one has more of them, by names of no server.
+        """
+        if not (self.barred or self.least_excluded):
+            return self.tried_servers
+        found = tuple(dict.fromkeys((*self.tried_servers, *self.barred)))
+        return found + (NO_SERVER,) * (self.least_excluded - len(found))
+
     def permit_request(self, now: Seconds) -> PermitRequest:
         """Return the message that requests this request's permit."""
         arrival = self.arrival
@@ -136,13 +160,19 @@
             weight=self.weight,
             objective=self._remaining_objective(now),
             prefix_lengths=arrival.prefix_lengths,
-            excluded=self.tried_servers,
-            quota_cost=0.0 if self.tried_servers else arrival.quota_cost,
+            excluded=self._excluded(),
+            quota_cost=self._quota_cost,
             patience=self._remaining_patience(now),
             digest=arrival.digest,
             may_have_run=self.may_have_run,
         )
 
+    @property
+    def _quota_cost(self) -> float:
+        """Return the cost of the first permit request; later ones are paid for."""
+        paid = bool(self.tried_servers) or self.least_excluded > 0
+        return 0.0 if paid else self.arrival.quota_cost
+
     def _remaining_patience(self, now: Seconds) -> Seconds:
         """Return how long the caller still waits for the next event."""
         left = self.deadline - now
--- a/src/amaranthferry/running.py
+++ b/src/amaranthferry/running.py
@@ -186,6 +186,9 @@
     if req.caller_gone or not arrival.repeatable or attempts >= arrival.max_attempts:
         return False
     tried = {*req.tried_servers, req.server}
+    if not req.exposed:
+        # The next attempt of a request at an unproven version goes to the others.
+        tried.update(req.barred)
     others = (
         name
         for name, cfg in state.deployment.servers.items()
--- a/src/amaranthferry/state.py
+++ b/src/amaranthferry/state.py
@@ -1,5 +1,7 @@
 """Define the state from which one entry host makes its decisions."""
 
+from typing import Protocol
+
 import msgspec
 
 from .config import Deployment
@@ -81,6 +83,19 @@
     ended: Seconds | None = None
 
 
+class VersionRules(Protocol):
+    """Say which servers a request may get by their version."""
+
+    def assign(self, req: Request) -> None:
+        """Choose the servers that a request's next permit request excludes."""
+
+    def refuses(self, req: Request, server: ServerId) -> bool:
+        """Return whether a granted server may not get a request."""
+
+    def is_outdated(self, req: Request) -> bool:
+        """Return whether a waiting request excludes every server that it may get."""
+
+
 class HostState(msgspec.Struct, kw_only=True):
     """Represent the state of one entry host's reducer."""
 
@@ -134,6 +149,8 @@
     hosts_asked: frozenset[HostId] = frozenset()
     pool_versions: dict[PoolId, frozenset[str]] = {}
     coordinator_timeout: Seconds = COORDINATOR_TIMEOUT
+    #: Where rollouts are enabled.
+    versions: VersionRules | None = None
 
     _capable: frozenset[HostId] = frozenset()
 
--- a/src/amaranthferry/types.py
+++ b/src/amaranthferry/types.py
@@ -145,6 +145,7 @@
     SERVER_LEAVING = "server_leaving"
     HELD_OFF = "held_off"
     PART_HELD = "part_held"
+    VERSION_WITHHELD = "version_withheld"
 
 
 class Decider(StrEnum):
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -137,14 +137,19 @@
             await self.add_host(f"host-{number}", **bounds)
         return self
 
-    async def add_server(self, service, name):
+    async def add_server(self, service, name, **fields):
         server = RoutedServer(name)
         url = await self._stack.enter_async_context(serve(server))
         self.servers[name] = server
         self.addresses[name] = url.removeprefix("http://")
-        await self.store.put("servers", name, entry(service, self.addresses[name]))
+        listed = entry(service, self.addresses[name], **fields)
+        await self.store.put("servers", name, listed)
         return server
 
+    async def order_rollout(self, service, version, *, duration=12):
+        spec = {"service": service, "to": version, "durationS": duration}
+        await self.store.put("rollouts", service, spec)
+
     async def add_restarting_engine(self, name, **options):
         """Add an engine that is listed again under a new name after each crash."""
         return await self.add_restarting_server("engines", name, **options)
--- /dev/null
+++ b/tests/gateway/test_rollouts.py
@@ -0,0 +1,111 @@
+"""Run whole rollouts with entry hosts, servers and a store on loopback."""
+
+import asyncio
+import itertools
+import time
+
+import pytest
+
+from amaranthferry.standins.routed import ServerFault
+
+from .fleet import fleet
+
+SHARE, SLACK = 0.1, 50
+
+
+class Load:
+    """Send requests to all hosts in turn, and record what their callers get."""
+
+    def __init__(self, caller, hosts, *, interval=0.02):
+        self._caller = caller
+        self._hosts = itertools.cycle(range(hosts))
+        self._interval = interval
+        self.statuses = []
+        self._tasks = set()
+
+    async def _send(self, number, host):
+        path, method = ("/look/x", "GET") if number % 3 else ("/pay/x", "POST")
+        _, status, _, _ = await self._caller.send(method, path, host=host)
+        self.statuses.append(status)
+
+    async def run(self, done, *, limit):
+        until = time.monotonic() + limit
+        for number in itertools.count():
+            if done() or time.monotonic() > until:
+                break
+            task = asyncio.create_task(self._send(number, next(self._hosts)))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+            await asyncio.sleep(self._interval)
+        await asyncio.gather(*self._tasks)
+
+
+def arrivals(run, version):
+    return sum(
+        len(server.executed) for name, server in run.servers.items() if version in name
+    )
+
+
+async def start(run, *, duration=6, new=2, **faults):
+    for number in range(new):
+        server = await run.add_server("ledger", f"new-{number}", version="v2", born=2)
+        server.processing_time = 0.01
+        for name, value in faults.items():
+            setattr(server, name, value)
+    await run.order_rollout("ledger", "v2", duration=duration)
+
+
+async def open_fleet(run, old=2):
+    for number in range(old):
+        server = await run.add_server("ledger", f"old-{number}", version="v1")
+        server.processing_time = 0.01
+
+
+def state_of(run):
+    status = run.store.status("rollouts", "ledger")
+    return None if status is None else status["state"]
+
+
+def is_over(run):
+    return lambda: state_of(run) in ("completed", "rolled_back")
+
+
+@pytest.mark.parametrize("hosts", [1, 3])
+async def test_good_version_is_completed_and_drained_before(hosts):
+    async with fleet(ledgers=0, hosts=0) as (run, caller):
+        await open_fleet(run)
+        for number in range(hosts):
+            await run.add_host(f"host-{number}", rollouts=True)
+        load = Load(caller, hosts)
+        await asyncio.sleep(1.5)
+        await start(run)
+        began = time.monotonic()
+        await load.run(is_over(run), limit=9)
+        took = time.monotonic() - began
+        old_before = arrivals(run, "old")
+        assert state_of(run) == "completed"
+        await Load(caller, hosts).run(lambda: False, limit=0.5)
+        assert arrivals(run, "old") == old_before
+        assert took < 6
+        assert set(load.statuses) == {200}
+        assert [s["state"] for _, _, s in run.store.statuses] == [
+            "in_progress",
+            "completed",
+        ]
+
+
+async def test_bad_version_is_rolled_back_within_the_exposure_bounds():
+    async with fleet(ledgers=0, hosts=0) as (run, caller):
+        await open_fleet(run)
+        for number in range(3):
+            await run.add_host(f"host-{number}", rollouts=True)
+        await asyncio.sleep(1.5)
+        await start(run, fault=ServerFault.ERROR)
+        load = Load(caller, 3)
+        await load.run(is_over(run), limit=9)
+        assert state_of(run) == "rolled_back"
+        before = arrivals(run, "new")
+        await load.run(lambda: False, limit=0.5)
+        assert arrivals(run, "new") == before
+        total = arrivals(run, "new") + arrivals(run, "old")
+        assert before <= SHARE * total + SLACK
