--- a/src/amaranthferry/cli.py
+++ b/src/amaranthferry/cli.py
@@ -10,6 +10,7 @@
     cli_hosts,
     cli_load,
     cli_request_trace,
+    cli_rollouts,
     cli_settings,
 )
 from .cli_demo import demo
@@ -25,6 +26,7 @@
 app.command()(faults)
 app.command()(soak)
 app.command()(cli_hosts.status)
+app.command()(cli_rollouts.rollouts)
 app.command(name="explain-request")(cli_request_trace.explain_request)
 app.add_typer(cli_hosts.servers, name="servers")
 app.add_typer(cli_held.app, name="held")
--- a/src/amaranthferry/gateway/operator_api.py
+++ b/src/amaranthferry/gateway/operator_api.py
@@ -1,4 +1,4 @@
-"""Serve metrics and the operators' view of what is held, on the internal address."""
+"""Serve metrics and the operators' views of a host, on the internal address."""
 
 import hmac
 from collections.abc import Awaitable, Callable, MutableMapping
@@ -15,6 +15,7 @@
 
 PARTS_PATH = "/held-parts"
 LIFT_SUFFIX = "/lift"
+ROLLOUTS_PATH = "/rollouts"
 _JSON = b"application/json"
 _METRICS = b"text/plain; version=0.0.4"
 
@@ -39,6 +40,9 @@
             app = self._app
             held = app.state.harm.held_subjects(app.clock())
             await answer(send, 200, _JSON, msgspec.json.encode(held))
+        elif path == ROLLOUTS_PATH and self._app.rollouts is not None:
+            found = self._app.rollouts.info()
+            await answer(send, 200, _JSON, msgspec.json.encode(found))
         else:
             await answer(send, 200, _METRICS, self._app.telemetry.text(self._app))
 
--- a/src/amaranthferry/gateway/telemetry.py
+++ b/src/amaranthferry/gateway/telemetry.py
@@ -165,7 +165,7 @@
                 buckets = histogram.buckets(labels)
                 histogram_family.add_metric(labels, buckets, histogram.sums[labels])
             yield histogram_family
-        for name, text, labels, values in _gauges(self._app):
+        for name, text, labels, values in _gauges(self._app) + _rollouts(self._app):
             gauge = GaugeMetricFamily(PREFIX + name, text, labels=labels)
             for key, value in values.items():
                 gauge.add_metric(key, value)
@@ -398,6 +398,34 @@
     ]
 
 
+def _rollouts(app: "Gateway") -> list[Gauge]:
+    """Return the metrics of rollouts, where they are enabled."""
+    if app.rollouts is None:
+        return []
+    found = app.rollouts.info()
+    service: Labels = ("service", "version")
+    return [
+        (
+            "rollout_stage",
+            "What this host does with the version of a rollout.",
+            (*service, "stage"),
+            {(r.service, r.version, r.stage or r.state): 1.0 for r in found},
+        ),
+        (
+            "rollout_requests",
+            "Requests of a service since the order of its rollout, at this host.",
+            service,
+            {(r.service, r.version): float(r.requests) for r in found},
+        ),
+        (
+            "rollout_exposed",
+            "Those of them that went to the ordered version.",
+            service,
+            {(r.service, r.version): float(r.exposed) for r in found},
+        ),
+    ]
+
+
 def _deciding(state: HostState) -> dict[Labels, float]:
     return {
         (coordinator.shard, role_of(state, coordinator)): float(
--- a/src/amaranthferry/rollout/agent.py
+++ b/src/amaranthferry/rollout/agent.py
@@ -14,7 +14,7 @@
 from ..state import HostState
 from ..types import HostId, PoolId, RequestId, RequestState, Seconds, ServerId, ShardId
 from .decider import Decider, StateStore
-from .gate import ServicePolicy, VersionGate, initial_credit
+from .gate import ServicePolicy, VersionGate, initial_credit, initial_fraction
 from .messages import RolloutReport, RolloutStep
 from .orders import OrderCache, Reader, RolloutOrder, RolloutState
 from .participant import Participant, Report, silence_limit
@@ -164,10 +164,12 @@
                 version=order.version, share=self._bounds.exposure_share
             )
             # A host that has just started may have used its part of the slack before.
+            host, slack = self._state.host, self._bounds.exposure_slack
             if order.state is None:
                 hosts = list(self._live_hosts())
-                slack = self._bounds.exposure_slack
-                policy.credit = initial_credit(self._state.host, hosts, service, slack)
+                policy.credit = initial_credit(host, hosts, service, slack)
+            elif slack:
+                policy.credit = initial_fraction(host, service)
             found = self.participants[service] = Participant(order, policy, now)
         return found
 
--- a/src/amaranthferry/rollout/gate.py
+++ b/src/amaranthferry/rollout/gate.py
@@ -15,25 +15,33 @@
 from ..requests import Request
 from ..state import HostState
 from ..types import HostId, PoolId, RequestId, RequestState, ServerId
-from .steps import Stage
-
-#: Part of the exposure slack that hosts are given as credit at the order. The rest covers
-#: what hosts that have just restarted get, and requests that are on their way.
-CREDIT_PART = 0.8
+from .steps import Stage, slack_credit
 
 
 def initial_credit(
     host: HostId, hosts: list[HostId], service: str, slack: float
-) -> int:
-    """Return a host's part of the slack in whole requests, which add up to the slack."""
-    ranked = sorted(
-        hosts, key=lambda name: xxhash.xxh64_intdigest(f"{service}\0{name}".encode())
-    )
+) -> float:
+    """Return the credit of a host at the order, in requests.
+
+    Whole requests are shared out to the hosts, and each one begins with a fraction
+    between 0 and 1 of its own. So all hosts together send what the requests of all earn,
+    though one host alone may have too few requests to earn a whole one.
+    """
+    ranked = sorted(hosts, key=lambda name: _rank(service, name))
     if host not in ranked:
-        return 0
-    total = int(slack * CREDIT_PART)
+        return 0.0
+    total = int(slack_credit(slack, len(ranked)))
     count, rest = divmod(total, len(ranked))
-    return count + (ranked.index(host) < rest)
+    return count + (ranked.index(host) < rest) + initial_fraction(host, service)
+
+
+def initial_fraction(host: HostId, service: str) -> float:
+    """Return the part of a request that a host begins with, uniform over the hosts."""
+    return xxhash.xxh32_intdigest(f"{host}\0{service}".encode()) / 2**32
+
+
+def _rank(service: str, host: HostId) -> int:
+    return xxhash.xxh64_intdigest(f"{service}\0{host}".encode())
 
 
 class ServicePolicy(msgspec.Struct, kw_only=True):
--- a/src/amaranthferry/rollout/judging.py
+++ b/src/amaranthferry/rollout/judging.py
@@ -12,24 +12,38 @@
 
 #: Chance at which a good version may look bad, for one test of many, and for the last.
 #: A rollout of 12 s makes some thousand tests, which depend on each other.
-CHANCE_OF_MANY = 1e-7
-CHANCE_OF_LAST = 1e-3
+CHANCE_OF_MANY = 1e-5
+CHANCE_OF_LAST = 5e-3
+#: Factor on the chance where times are judged, since they are judged in several ways.
+TIMES_CHANCE = 0.2
+#: Part of a sum below which its further terms are left out.
+NEGLIGIBLE = 1e-6
 #: Share of answers by which a bad version is worse at least, by measure. The answers of
 #: an engine that slows down for a moment raise the share of slow ones by less.
 MIN_FAILURES = 0.02
-MIN_SLOW = 0.06
+MIN_SLOW = 0.1
 MIN_REFUSALS = 0.3
 #: Least share of failures that an old version is taken to have.
 LEAST_SHARE = 0.01
 #: Greatest share of failures that an old version without many answers is taken to have.
 GREATEST_FAILURES = 0.3
-#: An answer is slow above these multiples of the old version's median.
-SLOW_DOUBLINGS = (1, 2)
+#: An answer is slow by so many buckets above the old version's median: 1.4, 2 and 4
+#: times.
+SLOW_BUCKETS = (
+    BUCKETS_PER_DOUBLING // 2,
+    BUCKETS_PER_DOUBLING,
+    2 * BUCKETS_PER_DOUBLING,
+)
 #: Answers of the old version that its median needs.
 MIN_OLD_ANSWERS = 8
 #: Length of a slice of the evidence. A server may be slow for 0.6 s at a time without
 #: being bad, so the two worst adjacent slices don't count where times are judged.
 SLICE: Seconds = 0.5
+#: Answers of one server that are slow for the same reason, on average: a slow moment takes
+#: in several, and one server alone has more of them at once than several have.
+CLUSTER = 1.5
+#: Names all routes of a service in a finding.
+ALL_ROUTES = "all routes"
 #: Slices up to which a bad version is judged by all answers alone.
 RECENT_SLICES = 5
 #: Slices that are kept; older ones are merged.
@@ -96,6 +110,42 @@
             finding = test(timeline, route, chance)
             if finding is not None:
                 return finding
+    return _judge_together(timeline, routes, chance) if len(routes) > 1 else None
+
+
+def _judge_together(
+    timeline: Timeline, routes: list[str], chance: float
+) -> Finding | None:
+    """Judge the times of all routes together, each by its own old version's median.
+
+    So a version shows as slow sooner where no route has many answers.
+    """
+    for distance in SLOW_BUCKETS:
+        old = (0, 0)
+        series: list[tuple[int, int]] = []
+        expected = 0.0
+        for route in routes:
+            known = _counts(timeline.latest, route, False)
+            if sum(known.first) < MIN_OLD_ANSWERS:
+                continue
+            bucket = _median(known.first) + distance
+            found = _bad(known, Measure.FIRST, bucket)
+            own = _series(timeline, route, Measure.FIRST, bucket)
+            expected += sum(count for count, _ in own) * _upper_share(*found)
+            old = (old[0] + found[0], old[1] + found[1])
+            series = [
+                (a[0] + b[0], a[1] + b[1])
+                for a, b in zip(series or [(0, 0)] * len(own), own, strict=True)
+            ]
+        answers = sum(count for count, _ in series)
+        if not answers:
+            continue
+        kept, chance_of_times = _without_worst(series), chance * TIMES_CHANCE
+        bad = _test(
+            kept, expected / answers, MIN_SLOW, chance_of_times, cluster=CLUSTER
+        )
+        if bad is not None:
+            return _finding(ALL_ROUTES, Measure.FIRST, old, bad)
     return None
 
 
@@ -153,13 +203,16 @@
         times = known.first if measure is Measure.FIRST else known.rest
         if sum(times) < MIN_OLD_ANSWERS:
             continue
-        for doublings in SLOW_DOUBLINGS:
-            bucket = _median(times) + doublings * BUCKETS_PER_DOUBLING
+        for distance in SLOW_BUCKETS:
+            bucket = _median(times) + distance
             old = _bad(known, measure, bucket)
             series = _series(timeline, route, measure, bucket)
             for part in (series, series[-2 * RECENT_SLICES :]):
                 kept = _without_worst(part)
-                found = _test(kept, _upper_share(*old), MIN_SLOW, chance)
+                share = _upper_share(*old)
+                found = _test(
+                    kept, share, MIN_SLOW, chance * TIMES_CHANCE, cluster=CLUSTER
+                )
                 if found is not None:
                     return _finding(route, measure, old, found)
     return None
@@ -184,14 +237,23 @@
 
 
 def _test(
-    series: list[tuple[int, int]], expected: float, margin: float, chance: float
+    series: list[tuple[int, int]],
+    expected: float,
+    margin: float,
+    chance: float,
+    *,
+    cluster: float = 1.0,
 ) -> tuple[int, int] | None:
-    """Return the answers and the bad ones if there are too many to be by chance."""
+    """Return the answers and the bad ones if there are too many to be by chance.
+
+    Answers that come in clusters count as one for each cluster.
+    """
     answers = sum(count for count, _ in series)
     bad = sum(count for _, count in series)
     if bad < 2 or bad / answers < expected + margin:
         return None
-    return (answers, bad) if tail(answers, bad, expected) < chance else None
+    found = tail(int(answers / cluster), int(bad / cluster), expected)
+    return (answers, bad) if found < chance else None
 
 
 def _upper_share(answers: int, bad: int) -> float:
@@ -202,14 +264,23 @@
 
 
 def tail(answers: int, bad: int, share: float) -> float:
-    """Return a bound on the chance of so many bad answers at a share (Chernoff)."""
+    """Return the chance of so many bad answers, or more, at a share (binomial)."""
     if not answers or share >= 1.0 or bad / answers <= share:
         return 1.0
-    found = bad / answers
-    exponent = found * math.log(found / share)
-    if found < 1.0:
-        exponent += (1 - found) * math.log((1 - found) / (1 - share))
-    return math.exp(-answers * exponent)
+    chance = math.exp(
+        math.lgamma(answers + 1)
+        - math.lgamma(bad + 1)
+        - math.lgamma(answers - bad + 1)
+        + bad * math.log(share)
+        + (answers - bad) * math.log1p(-share)
+    )
+    total, odds = 0.0, share / (1 - share)
+    for count in range(bad, answers + 1):
+        total += chance
+        chance *= (answers - count) / (count + 1) * odds
+        if chance < total * NEGLIGIBLE:
+            break
+    return total
 
 
 def _finding(
--- a/src/amaranthferry/rollout/steps.py
+++ b/src/amaranthferry/rollout/steps.py
@@ -6,6 +6,7 @@
 does. The decider only says when hosts may use their credit, and on which servers.
 """
 
+import math
 from collections.abc import Iterable, Mapping
 from enum import StrEnum
 
@@ -25,21 +26,26 @@
 SHIFT_PACE = 0.5
 #: Earliest and latest end of the unproven time, as fractions of the duration.
 EARLIEST_PROOF = 0.3
-LATEST_PROOF = 0.65
+LATEST_PROOF = 0.7
 #: Margin on the longest time that a request took at the old servers.
 DRAIN_FACTOR = 1.25
 #: Load of a canary while it is loaded, as a fraction of that of an old server. One server
 #: alone has longer queues than several that share their requests.
 CANARY_LOAD = 0.85
-#: Period in which the canaries get requests for a part of the time, where the exposure
-#: share is too small to load them all the time.
-PULSE_PERIOD: Seconds = 2.0
+#: Time for which the canaries are loaded at once, where the exposure share is too small to
+#: load them all the time: the hosts save their credit for it.
+PULSE_TIME: Seconds = 1.0
 #: Answers of the new version that prove it, and the least at the latest time.
 MIN_ANSWERS = 30
 MIN_LAST_ANSWERS = 5
 #: Answers of each route that has at least a part of the requests.
 MIN_ROUTE_ANSWERS = 5
 MAIN_ROUTE_SHARE = 0.1
+#: Part of the exposure slack that hosts are given as credit at the order, but for three
+#: standard deviations of the fractions of requests that they begin with. The rest is for
+#: hosts that restart.
+CREDIT_PART = 0.85
+FRACTION_MARGIN = 1.5
 #: Age above which a host's report no longer tells what the host does.
 REPORT_AGE: Seconds = 1.5
 #: Time in which a decider hears of the other hosts before its first step.
@@ -61,6 +67,11 @@
     ROLLED_BACK = "rolled_back"
 
 
+def slack_credit(slack: float, hosts: int) -> float:
+    """Return the part of the exposure slack that hosts may use from the order on."""
+    return max(0.0, slack * CREDIT_PART - FRACTION_MARGIN * math.sqrt(hosts))
+
+
 class Limits(msgspec.Struct, frozen=True, kw_only=True):
     """Define the bounds that the operator has set for rollouts."""
 
@@ -103,6 +114,7 @@
         self._began: Seconds | None = None
         self._reason = ""
         self._may_be_completed = False
+        self._pulsing = False
 
     @property
     def stage(self) -> Stage:
@@ -238,15 +250,25 @@
         canaries = view.new[:count]
         load = CANARY_LOAD * len(canaries) / max(1, len(view.old))
         pace = min(1.0, max(load, self.limits.share))
-        on_time = PULSE_PERIOD * min(1.0, self.limits.share / pace)
-        if (view.now - self._since) % PULSE_PERIOD >= on_time and pace > (
-            self.limits.share / CANARY_LOAD
-        ):
+        if not self._is_pulsing(view, pace):
             pace = 0.0
         return Decision(
             stage=Stage.CANARY, pace=pace, canaries=canaries, reason=self._reason
         )
 
+    def _is_pulsing(self, view: View, pace: float) -> bool:
+        """Return whether the credit of all hosts lasts for a time with loaded canaries."""
+        requests = sum(report.requests for report in view.reports.values())
+        exposed = sum(report.exposed for report in view.reports.values())
+        slack = slack_credit(self.limits.slack, len(view.hosts))
+        earned = self.limits.share * requests + slack
+        left, rate = earned - exposed, requests / max(view.age, PULSE_TIME)
+        if left < 1.0:
+            self._pulsing = False
+        elif left >= min(pace * rate * PULSE_TIME, max(slack, 1.0)):
+            self._pulsing = True
+        return self._pulsing
+
     def _silent_hosts(self, view: View) -> set[HostId]:
         """Return the live hosts that don't say that they follow the last step."""
         return {
--- a/tests/gateway/test_rollouts.py
+++ b/tests/gateway/test_rollouts.py
@@ -4,8 +4,12 @@
 import itertools
 import time
 
+import msgspec
 import pytest
+from typer.testing import CliRunner
 
+from amaranthferry.cli import app
+from amaranthferry.rollout.agent import RolloutInfo
 from amaranthferry.standins.routed import ServerFault
 
 from .fleet import fleet
@@ -109,3 +113,69 @@
         assert arrivals(run, "new") == before
         total = arrivals(run, "new") + arrivals(run, "old")
         assert before <= SHARE * total + SLACK
+
+
+async def test_command_and_metrics_show_the_rollout_and_its_evidence():
+    async with fleet(ledgers=0, hosts=0) as (run, caller):
+        await open_fleet(run)
+        await run.add_host("host-0", rollouts=True)
+        await asyncio.sleep(1.0)
+        await start(run, duration=20)
+        await Load(caller, 1).run(lambda: False, limit=1.5)
+        address = run.metrics[0].removeprefix("http://").removesuffix("/metrics")
+        runner = CliRunner()
+        shown = await asyncio.to_thread(
+            runner.invoke, app, ["rollouts", "--host", address, "--json"]
+        )
+        (found,) = msgspec.json.decode(shown.stdout, type=list[RolloutInfo])
+        assert (found.service, found.version) == ("ledger", "v2")
+        assert (found.state, found.stage) == ("in_progress", "canary")
+        assert found.decider == "host-0"
+        assert found.all_exposed == found.exposed > 0
+        assert {"look new", "look old"} <= set(found.evidence)
+        text = await asyncio.to_thread(
+            runner.invoke, app, ["rollouts", "--host", address]
+        )
+        assert "stage: canary" in text.stdout
+        metrics = run.hosts[0].telemetry.text(run.hosts[0]).decode()
+        assert 'rollout_stage{service="ledger",stage="canary"' in metrics
+
+
+async def test_hosts_without_rollouts_call_and_send_as_before():
+    """Guards against any call or message of this part where it is off."""
+    async with fleet(ledgers=0, hosts=0) as (run, caller):
+        await open_fleet(run)
+        await run.add_host("host-0")
+        await asyncio.sleep(0.5)
+        await start(run)
+        load = Load(caller, 1)
+        await load.run(lambda: False, limit=1.0)
+        assert set(load.statuses) == {200}
+        assert arrivals(run, "new") > 0
+        assert not [path for _, path in run.store.calls if "rollouts" in path]
+        assert run.store.statuses == []
+        assert run.hosts[0].state.versions is None
+        shown = await asyncio.to_thread(
+            CliRunner().invoke,
+            app,
+            ["rollouts", "--host", run.metrics[0].split("/")[2]],
+        )
+        assert "knows no rollouts" in str(shown.exception)
+
+
+async def test_version_without_an_order_gets_nothing_while_the_known_one_serves():
+    """Guards against a version that no order names getting requests."""
+    async with fleet(ledgers=0, hosts=0) as (run, caller):
+        await open_fleet(run)
+        await run.add_host("host-0", rollouts=True)
+        await asyncio.sleep(1.0)
+        await run.add_server("ledger", "new-0", version="v2", born=2)
+        load = Load(caller, 1)
+        await load.run(lambda: False, limit=0.7)
+        assert arrivals(run, "new") == 0
+        for name in ("old-0", "old-1"):
+            await run.store.remove("servers", name)
+        await asyncio.sleep(0.5)
+        await load.run(lambda: False, limit=0.5)
+        assert arrivals(run, "new") > 0
+        assert set(load.statuses) == {200}
