--- a/src/amaranthferry/rollout/agent.py
+++ b/src/amaranthferry/rollout/agent.py
@@ -24,6 +24,9 @@
 #: Time for which a lost host still has to be heard before a rollout is completed: it may
 #: be cut off and send requests to the old servers.
 LOST_HOST_TIME: Seconds = 2.0
+#: Time between two ticks above which this host was suspended, less than the time after
+#: which others decide instead.
+PAUSE_THRESHOLD: Seconds = 0.8
 _RUNNING = (RequestState.PERMITTED, RequestState.DISPATCHED, RequestState.ANSWERING)
 _log = structlog.get_logger(__name__)
 
@@ -94,7 +97,7 @@
         self._known = KnownVersions()
         self._sides: dict[PoolId, Sides] = {}
         self._seen: dict[PoolId, RolloutOrder] = {}
-        self._started = clock()
+        self._ticked_at = clock()
 
     def _apply_orders(self) -> None:
         orders = self.cache.orders
@@ -182,8 +185,13 @@
     def tick(self) -> None:
         """Report to the deciders, and decide where that is this host's part."""
         if not self.participants:
+            self._ticked_at = self._clock()
             return
         now, changed = self._clock(), False
+        if now - self._ticked_at > PAUSE_THRESHOLD:
+            # Another host has decided meanwhile; it goes on from the others' reports.
+            self.deciders.clear()
+        self._ticked_at = now
         hosts = len(self._state.hosts)
         for service, participant in list(self.participants.items()):
             chosen = self._decider_of(service, participant, now)
@@ -239,7 +247,13 @@
             self.deciders[service] = decider
         host, sides = self._state.host, self._sides.get(service, Sides())
         hosts = len(self._state.hosts)
-        decider.receive(participant.report(now, host, hosts, running), now)
+        report = participant.report(now, host, hosts, running)
+        decider.receive(report, now)
+        if decider.is_lonely and participant.is_due(now, hosts, running):
+            # Hosts that take this one for silent learn that it isn't.
+            for other in self._live_hosts():
+                if other != host:
+                    self._send(other, report)
         changed = decider.advance(
             now,
             age=participant.age(now),
@@ -272,6 +286,7 @@
                 self._tell_end(sender, message)
             return
         now = self._clock()
+        participant.silent_hosts.discard(sender)
         if isinstance(message, RolloutStep):
             # A host that isn't asked any more, or not yet, doesn't decide for this one.
             if sender == self._decider_of(message.service, participant, now) and (
--- a/src/amaranthferry/rollout/decider.py
+++ b/src/amaranthferry/rollout/decider.py
@@ -53,6 +53,11 @@
         """Return the step in force."""
         return self._step
 
+    @property
+    def is_lonely(self) -> bool:
+        """Return whether most hosts have not reported in time."""
+        return self.decision.is_lonely
+
     def receive(self, report: RolloutReport, now: Seconds) -> None:
         """Record a host's report."""
         self.reports[report.host] = report
--- a/src/amaranthferry/rollout/participant.py
+++ b/src/amaranthferry/rollout/participant.py
@@ -31,6 +31,12 @@
 WRITE_TIMEOUT: Seconds = 2.5
 #: Least tokens of an answer from which the time of each one is taken.
 MIN_TOKENS = 4
+#: Stages that a host doesn't return to.
+_EARLIER = {
+    Stage.SHIFT: (Stage.HOLD, Stage.CANARY),
+    Stage.FULL: (Stage.HOLD, Stage.CANARY, Stage.SHIFT),
+    Stage.ROLLED_BACK: (Stage.HOLD, Stage.CANARY, Stage.SHIFT, Stage.FULL),
+}
 _log = structlog.get_logger(__name__)
 
 Report = Callable[[Event], None]
@@ -116,7 +122,8 @@
         self.watched: dict[RequestId, Watched] = {}
         self.step = 0
         self.reason = ""
-        self.silent_hosts: dict[HostId, Seconds] = {}
+        #: Hosts that have not answered, until they are heard.
+        self.silent_hosts: set[HostId] = set()
         self._began = now
         self.heard_at = now
         self._asked: tuple[HostId, Seconds] | None = None
@@ -165,8 +172,8 @@
         self.heard_at = now
         self._began = min(self._began, now - step.age)
         self._asked = None
-        if policy.stage is Stage.ROLLED_BACK and stage is not Stage.ROLLED_BACK:
-            # A decider that has missed it learns it from this host's reports.
+        if stage in _EARLIER.get(policy.stage, ()):
+            # A decider that has missed the later stage learns it from the reports.
             return False
         before = (policy.stage, policy.canaries)
         if stage is not policy.stage:
@@ -261,9 +268,8 @@
     ) -> HostId:
         """Return the host that decides, without those that don't answer."""
         if self._asked is not None and now - self._asked[1] >= limit:
-            self.silent_hosts[self._asked[0]] = now + 2 * limit
+            self.silent_hosts.add(self._asked[0])
             self._asked = None
-        self.silent_hosts = {h: t for h, t in self.silent_hosts.items() if t > now}
         others = [host for host in hosts if host not in self.silent_hosts]
         return rank(others or [own])
 
--- a/src/amaranthferry/rollout/steps.py
+++ b/src/amaranthferry/rollout/steps.py
@@ -48,7 +48,7 @@
 FRACTION_MARGIN = 1.5
 #: Age above which a host's report no longer tells what the host does.
 REPORT_AGE: Seconds = 1.5
-#: Time in which a decider hears of the other hosts before its first step.
+#: Time after which a decider that most hosts don't report to tells them that it is there.
 GATHER_TIME: Seconds = 0.8
 
 
@@ -115,6 +115,7 @@
         self._reason = ""
         self._may_be_completed = False
         self._pulsing = False
+        self._is_lonely = False
 
     @property
     def stage(self) -> Stage:
@@ -129,6 +130,11 @@
         """Decide again, since the completion has not been written."""
         self._may_be_completed = False
 
+    @property
+    def is_lonely(self) -> bool:
+        """Return whether most hosts have not reported in time."""
+        return self._is_lonely
+
     def advance(self, view: View, step: int) -> Decision:
         """Return what to do now; `step` is the number of the step in force."""
         self.timeline.record(add_up(r.counts for r in view.reports.values()), view.now)
@@ -157,7 +163,11 @@
         if self.finding is not None:
             self._enter(Stage.ROLLED_BACK, view, str(self.finding))
             return
-        if self._stage is Stage.HOLD:
+        if not self._has_heard(view):
+            return
+        if Stage.FULL in told and self._stage is not Stage.FULL:
+            self._enter(Stage.FULL, view, "went on")
+        elif self._stage is Stage.HOLD:
             self._start(view, told)
         elif self._stage is Stage.CANARY:
             self._prove(view)
@@ -179,24 +189,27 @@
 
     def _start(self, view: View, told: Iterable[str]) -> None:
         """Go on from what the hosts do already, or start once a server is ready."""
-        if not self._has_heard(view):
-            return
         if not view.new:
             if view.age >= self._last_moment:
                 self._enter(Stage.ROLLED_BACK, view, "no server of the version")
-            return
-        for stage in (Stage.FULL, Stage.SHIFT):
-            if stage in told:
-                self._enter(stage, view, "went on")
-                return
-        self._enter(Stage.CANARY, view, "servers are ready")
+        elif Stage.SHIFT in told:
+            self._enter(Stage.SHIFT, view, "went on")
+        else:
+            self._enter(Stage.CANARY, view, "servers are ready")
 
     def _has_heard(self, view: View) -> bool:
-        """Return whether most hosts have told what they do, as a successor has to know."""
+        """Return whether most hosts say what they do; another one may decide for them.
+
+        A host that decides alone leaves it at that until the end of the duration.
+        """
         if self._began is None:
             self._began = view.now
-        heard = sum(host in view.reports for host in view.hosts)
-        return 2 * heard > len(view.hosts) or view.now - self._began >= GATHER_TIME
+        fresh = sum(view.report_ages.get(h, math.inf) <= REPORT_AGE for h in view.hosts)
+        heard = 2 * fresh > len(view.hosts)
+        self._is_lonely = not heard and view.now - self._began >= GATHER_TIME
+        if self._is_lonely and view.age >= self.limits.duration:
+            self._enter(Stage.ROLLED_BACK, view, "most hosts say nothing")
+        return heard
 
     def _prove(self, view: View) -> None:
         latest = self._latest_proof(view)
