--- a/tests/adapter/test_desired.py
+++ b/tests/adapter/test_desired.py
@@ -1,8 +1,10 @@
+import msgspec
 import pytest
 
 from amaranthferry.catalog import CatalogPart, RouteKind, RouteTable
 from amaranthferry.exceptions import SettingsError
-from amaranthferry.platform.desired import read_catalog, read_instance
+from amaranthferry.platform.desired import read_catalog, read_instance, read_order
+from amaranthferry.rollout.orders import RolloutState
 from amaranthferry.types import ServerState
 
 
@@ -192,3 +194,40 @@
 )
 def test_malformed_entry_gives_no_instance(bad):
     assert read_instance("i-1", bad) is None
+
+
+@pytest.mark.parametrize(
+    ("status", "state"),
+    [
+        (None, None),
+        ({"state": "in_progress", "to": "v2"}, "in_progress"),
+        ({"state": "rolled_back", "to": "v2", "new": 1}, "rolled_back"),
+        ({"state": "completed", "to": "v1"}, None),
+    ],
+)
+def test_order_of_a_rollout_is_read_with_the_status_that_is_about_it(status, state):
+    spec = {"service": "ledger", "to": "v2", "durationS": 12}
+    order = read_order("ledger", spec, status)
+    assert (order.service, order.version, order.duration) == ("ledger", "v2", 12)
+    assert order.state == state
+    written = msgspec.to_builtins(order.status(RolloutState.COMPLETED))
+    assert written == {"state": "completed", "to": "v2"}
+
+
+@pytest.mark.parametrize(
+    ("spec", "status"),
+    [
+        (None, None),
+        ({"service": "s", "to": "v2", "durationS": 0}, None),
+        ({"service": "s", "to": None, "durationS": 1}, None),
+        ({"service": "s", "to": "v2", "durationS": 1}, {"state": "odd", "to": "v2"}),
+    ],
+)
+def test_order_that_cannot_be_read_is_none(spec, status):
+    assert read_order("s", spec, status) is None
+
+
+def test_version_that_is_a_number_is_written_back_as_one():
+    order = read_order("s", {"service": "s", "to": 7, "durationS": 1}, None)
+    assert order.version == "7"
+    assert order.status(RolloutState.COMPLETED).to == 7
--- a/tests/gateway/test_rollouts.py
+++ b/tests/gateway/test_rollouts.py
@@ -10,6 +10,7 @@
 
 from amaranthferry.cli import app
 from amaranthferry.rollout.agent import RolloutInfo
+from amaranthferry.rollout.messages import RolloutStep
 from amaranthferry.standins.routed import ServerFault
 
 from .fleet import fleet
@@ -115,6 +116,86 @@
         assert before <= SHARE * total + SLACK
 
 
+async def start_engines(run, *, duration, **faults):
+    for number in range(2):
+        server = await run.add_server("engines", f"new-{number}", version="v2", born=2)
+        for name, value in faults.items():
+            setattr(server, name, value)
+    await run.order_rollout("engines", "v2", duration=duration)
+
+
+@pytest.mark.parametrize(
+    ("fault", "state"),
+    [(ServerFault.NONE, "completed"), (ServerFault.CUT_STREAM, "rolled_back")],
+)
+async def test_rollout_of_engines_behind_a_coordinator(fault, state):
+    """Guards against streams that are cut off, or start at old engines too late."""
+    async with fleet(ledgers=0, engines=0, hosts=0) as (run, caller):
+        for number in range(2):
+            await run.add_server("engines", f"old-{number}", version="v1")
+        for server in run.servers.values():
+            server.event_interval = 0.05
+        for number in range(2):
+            await run.add_host(f"host-{number}", rollouts=True)
+        await asyncio.sleep(1.5)
+        await start_engines(run, duration=6, fault=fault, event_interval=0.05)
+        statuses, tasks, hosts = [], set(), itertools.cycle(range(2))
+
+        async def send(number):
+            path = "/ask/x" if number % 2 else "/review/x"
+            _, status, _, body = await caller.send_prompt(path, host=next(hosts))
+            statuses.append((status, body.count(b"id:")))
+
+        until = time.monotonic() + 9
+        for number in itertools.count():
+            status = run.store.status("rollouts", "engines")
+            over = status is not None and status["state"] != "in_progress"
+            if over or time.monotonic() > until:
+                break
+            tasks.add(asyncio.create_task(send(number)))
+            await asyncio.sleep(0.04)
+        old = arrivals(run, "old")
+        done = await asyncio.gather(*tasks, return_exceptions=True)
+        assert run.store.status("rollouts", "engines")["state"] == state
+        cut = [item for item in done if item is not None]
+        if state == "completed":
+            assert cut == []
+            assert set(statuses) == {(200, 3)}
+            assert arrivals(run, "old") == old
+        else:
+            assert arrivals(run, "new") <= SHARE * len(tasks) + SLACK
+            assert len(cut) <= arrivals(run, "new")
+
+
+async def test_requests_that_wait_go_to_the_new_version_once_the_old_one_is_closed():
+    """Guards against requests that wait for servers which get no more work."""
+    async with fleet(ledgers=0, engines=0, hosts=0) as (run, caller):
+        old = await run.add_server("engines", "old-0", version="v1")
+        old.event_interval = 0.5
+        await run.add_host("host-0", rollouts=True)
+        await asyncio.sleep(1.0)
+        host = run.hosts[0]
+        await run.add_server("engines", "new-0", version="v2", born=2)
+        await run.order_rollout("engines", "v2", duration=60)
+        await asyncio.sleep(0.3)
+        participant = host.rollouts.participants["engines"]
+        participant.policy.credit = 0.0
+        sends = [
+            asyncio.create_task(caller.send_prompt("/review/x", deadline=3.0))
+            for _ in range(7)
+        ]
+        await asyncio.sleep(0.2)
+        running = arrivals(run, "old")
+        assert 0 < running < 7
+        step = RolloutStep("engines", "v2", 99, "full", 1.0)
+        participant.follow(step, host.clock())
+        host.rollouts._apply_change()
+        answers = await asyncio.gather(*sends)
+        assert [status for _, status, _, _ in answers] == [200] * 7
+        assert arrivals(run, "old") == running
+        assert arrivals(run, "new") == 7 - running
+
+
 async def test_command_and_metrics_show_the_rollout_and_its_evidence():
     async with fleet(ledgers=0, hosts=0) as (run, caller):
         await open_fleet(run)
