--- a/src/amaranthferry/gateway/application.py
+++ b/src/amaranthferry/gateway/application.py
@@ -245,7 +245,6 @@
             send=self._send,
             spawn=self.spawn,
             refresh=self._apply_deployment,
-            changed=lambda: self.handle(VersionsChanged(now=self.clock())),
             clock=self.clock,
         )
 
@@ -584,6 +583,8 @@
             drained = self.rollouts.drained(self.servers.roster.instances)
             deployment = msgspec.structs.replace(deployment, drained=drained)
         self.handle(SettingsApplied(now=self.clock(), deployment=deployment))
+        if self.rollouts is not None:
+            self.handle(VersionsChanged(now=self.clock()))
         self._check_initialized()
 
     def _budget_limits(self) -> BudgetLimits:
--- a/src/amaranthferry/rollout/agent.py
+++ b/src/amaranthferry/rollout/agent.py
@@ -64,8 +64,8 @@
 class RolloutAgent:
     """Follow the orders of rollouts at one host, and decide where it is this host's part.
 
-    `refresh` has the deployment compiled again, and `changed` has requests that wait
-    choose their servers again.
+    `refresh` has the deployment compiled again, and requests that wait choose their
+    servers again.
     """
 
     def __init__(
@@ -78,7 +78,6 @@
         send: Send,
         spawn: Spawn,
         refresh: Callable[[], None],
-        changed: Callable[[], None],
         clock: Callable[[], Seconds],
     ) -> None:
         self._state = state
@@ -87,7 +86,6 @@
         self._send = send
         self._spawn = spawn
         self._refresh = refresh
-        self._changed = changed
         self._clock = clock
         self.gate = VersionGate()
         state.versions = self.gate
@@ -206,7 +204,7 @@
                     self._send(chosen, report)
             changed |= participant.check_silence(now, hosts)
         if changed:
-            self._apply_change()
+            self._refresh()
 
     def _resign(self, service: PoolId) -> None:
         """Leave the decisions to another host, unless a write is under way."""
@@ -266,7 +264,7 @@
             participant.heard_at = now
             return
         if participant.follow(decider.step, now):
-            self._apply_change()
+            self._refresh()
         if changed:
             for other in decider.reports:
                 if other != host:
@@ -292,7 +290,7 @@
             if sender == self._decider_of(message.service, participant, now) and (
                 participant.follow(message, now)
             ):
-                self._apply_change()
+                self._refresh()
             return
         decider = self.deciders.get(message.service)
         if decider is not None:
@@ -341,10 +339,6 @@
             )
             self._send(report.host, step)
 
-    def _apply_change(self) -> None:
-        self._refresh()
-        self._changed()
-
     def watch(
         self,
         service: PoolId,
--- a/src/amaranthferry/rollout/participant.py
+++ b/src/amaranthferry/rollout/participant.py
@@ -222,7 +222,9 @@
         """Return this host's report; an old step isn't named as one that is followed."""
         policy = self.policy
         stage = policy.stage
-        if stage is Stage.FULL and now - self.heard_at >= silence_limit(hosts):
+        unheard = now - self.heard_at >= silence_limit(hosts)
+        if stage is Stage.FULL and (unheard or not policy.new):
+            # Requests may go to the old servers.
             stage = Stage.HOLD
         watched = [item for item in self.watched.values() if not item.ended]
         pending = (
--- a/src/amaranthferry/rollout/steps.py
+++ b/src/amaranthferry/rollout/steps.py
@@ -38,6 +38,9 @@
 #: Answers of the new version that prove it, and the least at the latest time.
 MIN_ANSWERS = 30
 MIN_LAST_ANSWERS = 5
+#: Servers of the new version that are needed at the latest time, as a fraction of the old
+#: ones; before it they are waited for until they are as many.
+MIN_SERVERS = 0.5
 #: Answers of each route that has at least a part of the requests.
 MIN_ROUTE_ANSWERS = 5
 MAIN_ROUTE_SHARE = 0.1
@@ -219,6 +222,10 @@
         if view.age < min(latest, LATEST_PROOF * self.limits.duration):
             return
         is_last = view.age >= latest
+        if len(view.new) < len(view.old) * (MIN_SERVERS if is_last else 1.0):
+            if is_last:
+                self._enter(Stage.ROLLED_BACK, view, "too few servers of the version")
+            return
         finding = judge(self.timeline, CHANCE_OF_LAST)
         if finding is not None:
             self.finding = finding
@@ -296,6 +303,8 @@
         """Return whether nothing runs at the old servers or is on its way there."""
         if view.now - self._since < FULL_TIME or self._silent_hosts(view):
             return False
+        if not view.new:
+            return False
         return all(
             view.reports[host].step >= step and view.reports[host].running == 0
             for host in view.hosts
--- a/tests/gateway/test_rollouts.py
+++ b/tests/gateway/test_rollouts.py
@@ -189,7 +189,7 @@
         assert 0 < running < 7
         step = RolloutStep("engines", "v2", 99, "full", 1.0)
         participant.follow(step, host.clock())
-        host.rollouts._apply_change()
+        host._apply_deployment()
         answers = await asyncio.gather(*sends)
         assert [status for _, status, _, _ in answers] == [200] * 7
         assert arrivals(run, "old") == running
--- a/tests/rollout/agents.py
+++ b/tests/rollout/agents.py
@@ -149,7 +149,6 @@
             send=lambda host, message: self._send(name, host, message),
             spawn=lambda coro: self.tasks.append(asyncio.ensure_future(coro)),
             refresh=lambda: agent.drained(self.instances),
-            changed=lambda: None,
             clock=lambda: self.now,
         )
         self.agents[name], self.states[name] = agent, state
--- a/tests/rollout/test_steps.py
+++ b/tests/rollout/test_steps.py
@@ -1,3 +1,4 @@
+import msgspec
 import pytest
 
 from amaranthferry.rollout.messages import RolloutReport, RouteCounts
@@ -128,6 +129,22 @@
     assert step.pace == pytest.approx(0.1)
 
 
+def test_rollout_is_not_completed_without_servers_of_the_version():
+    """Guards against a service without any server."""
+    decision, now = reach_full()
+    found = msgspec.structs.replace(view(now + 1.0, full()), new=())
+    assert decision.advance(found, 5).state is RolloutState.IN_PROGRESS
+
+
+@pytest.mark.parametrize(
+    ("new", "reason"),
+    [(4, "proven"), (2, "proven"), (1, "too few servers of the version")],
+)
+def test_all_requests_go_to_servers_that_are_enough(new, reason):
+    found = Simulation(Version(), hosts=3, rate=30, old=4, new=new).run()
+    assert found.reason == reason
+
+
 @pytest.mark.parametrize("seed", [1, 2])
 @pytest.mark.parametrize(
     "version",
