--- a/src/amaranthferry/rollout/steps.py
+++ b/src/amaranthferry/rollout/steps.py
@@ -22,7 +22,7 @@
 WRITE_TIME: Seconds = 1.5
 #: Time with half of the requests, and least time with all of them, before completion.
 SHIFT_TIME: Seconds = 0.8
-FULL_TIME: Seconds = 0.8
+FULL_TIME: Seconds = 1.2
 SHIFT_PACE = 0.5
 #: Earliest and latest end of the unproven time, as fractions of the duration.
 EARLIEST_PROOF = 0.3
@@ -145,10 +145,14 @@
             self._review(view)
         if self._stage is Stage.CANARY:
             return self._canary(view)
+        drained = self._stage is Stage.FULL and self._is_drained(view, step)
+        if drained and not self._may_be_completed:
+            # The answers to all requests are far more than those that proved it.
+            drained = not self._is_bad_at_last(view)
         if self._stage is Stage.ROLLED_BACK:
             state = RolloutState.ROLLED_BACK
             return Decision(stage=self._stage, reason=self._reason, state=state)
-        if self._stage is Stage.FULL and self._is_drained(view, step):
+        if drained:
             state = RolloutState.COMPLETED
             return Decision(
                 stage=self._stage, pace=1.0, reason=self._reason, state=state
@@ -226,17 +230,23 @@
             if is_last:
                 self._enter(Stage.ROLLED_BACK, view, "too few servers of the version")
             return
-        finding = judge(self.timeline, CHANCE_OF_LAST)
-        if finding is not None:
-            self.finding = finding
-            self._enter(Stage.ROLLED_BACK, view, str(finding))
-        elif self._is_proven():
+        if self._is_bad_at_last(view):
+            return
+        if self._is_proven():
             self._enter(Stage.SHIFT, view, "proven")
         elif is_last and self._new_answers() >= MIN_LAST_ANSWERS:
             self._enter(Stage.SHIFT, view, "proven by few answers")
         elif is_last:
             self._enter(Stage.ROLLED_BACK, view, "too few answers to judge")
 
+    def _is_bad_at_last(self, view: View) -> bool:
+        """Judge the version before more depends on it; return whether it is bad."""
+        self.finding = judge(self.timeline, CHANCE_OF_LAST)
+        if self.finding is None:
+            return False
+        self._enter(Stage.ROLLED_BACK, view, str(self.finding))
+        return True
+
     def _latest_proof(self, view: View) -> Seconds:
         """Return the time at which all later steps still end within the duration."""
         longest = max((r.longest for r in view.reports.values()), default=0.0)
--- a/tests/rollout/test_steps.py
+++ b/tests/rollout/test_steps.py
@@ -3,10 +3,18 @@
 
 from amaranthferry.rollout.messages import RolloutReport, RouteCounts
 from amaranthferry.rollout.orders import RolloutState
-from amaranthferry.rollout.steps import Limits, RolloutDecision, Stage, View
+from amaranthferry.rollout.steps import (
+    FULL_TIME,
+    Limits,
+    RolloutDecision,
+    Stage,
+    View,
+)
 
 from .simulation import Simulation, Version
 
+#: Time after which a stage with all requests may be completed.
+SETTLED = FULL_TIME + 0.1
 LIMITS = Limits(share=0.1, slack=50, duration=12)
 GOOD = tuple(
     RouteCounts("a", is_new, answers, 0, 0, (0,) * 13 + (answers,))
@@ -61,7 +69,7 @@
 def test_rollout_is_completed_once_all_hosts_say_that_nothing_runs():
     decision, now = reach_full()
     assert not drained(decision, now + 0.1, full())
-    assert drained(decision, now + 1.0, full())
+    assert drained(decision, now + SETTLED, full())
 
 
 @pytest.mark.parametrize(
@@ -74,16 +82,18 @@
 def test_rollout_is_not_completed_while_a_host_may_use_old_servers(changes):
     """Guards against requests that are cut off when the old servers stop."""
     decision, now = reach_full()
-    assert not drained(decision, now + 1.0, full(**changes))
+    assert not drained(decision, now + SETTLED, full(**changes))
 
 
 def test_rollout_is_not_completed_on_reports_that_are_old_or_missing():
     decision, now = reach_full()
     ages = {"h1": 0.1, "h2": 2.0, "h3": 0.1}
-    assert not drained(decision, now + 1.0, full(), ages=ages)
-    assert not drained(decision, now + 1.0, full(), hosts=("h1", "h2", "h3", "lost"))
+    assert not drained(decision, now + SETTLED, full(), ages=ages)
+    assert not drained(
+        decision, now + SETTLED, full(), hosts=("h1", "h2", "h3", "lost")
+    )
     stayed = [*full()[:2], report("h3", Stage.HOLD, step=5)]
-    assert not drained(decision, now + 1.0, stayed)
+    assert not drained(decision, now + SETTLED, stayed)
 
 
 def test_write_of_a_completion_that_may_have_taken_effect_is_not_rolled_back():
@@ -132,7 +142,7 @@
 def test_rollout_is_not_completed_without_servers_of_the_version():
     """Guards against a service without any server."""
     decision, now = reach_full()
-    found = msgspec.structs.replace(view(now + 1.0, full()), new=())
+    found = msgspec.structs.replace(view(now + SETTLED, full()), new=())
     assert decision.advance(found, 5).state is RolloutState.IN_PROGRESS
 
 
