--- a/src/amaranthferry/catalog.py
+++ b/src/amaranthferry/catalog.py
@@ -10,6 +10,7 @@
     MEBIBYTE,
     BackendServer,
     Deployment,
+    MoveRules,
     Pool,
     PoolRules,
     Quota,
@@ -114,6 +115,7 @@
     kv_tokens: Tokens
     models: tuple[ModelId, ...] = ()
     event_tokens: Tokens = 1
+    moves: MoveRules | None = None
 
 
 class RoutedService(msgspec.Struct, frozen=True, kw_only=True):
@@ -353,7 +355,8 @@
 
 
 def _rules(service: RoutedService, budget_limits: BudgetLimits) -> PoolRules:
-    plain = service.engine is None
+    engine = service.engine
+    plain = engine is None
     return PoolRules(
         repeat_ratio=budget_limits.repeat_ratio,
         repeat_burst=budget_limits.repeat_burst,
@@ -363,6 +366,7 @@
         notice_interval=0.0 if plain else NOTICE_INTERVAL,
         rebuild_timeout=REBUILD_TIMEOUT,
         orphan_timeout=ORPHAN_TIMEOUT,
+        moves=None if engine is None else engine.moves,
     )
 
 
--- a/src/amaranthferry/codec.py
+++ b/src/amaranthferry/codec.py
@@ -5,6 +5,7 @@
 from . import messages, settings_messages
 from .exceptions import DECODE_ERRORS, FrameError
 from .messages import Message
+from .relocation import messages as move_messages
 
 PeerMessage = (
     messages.PermitRequest
@@ -24,6 +25,8 @@
     | messages.LeavingNotice
     | messages.LimitNotice
     | messages.HarmUpdate
+    | move_messages.MoveProposal
+    | move_messages.MoveReport
     | settings_messages.SettingsVersionRequest
     | settings_messages.SettingsVersionReply
     | settings_messages.SettingsVersionNotice
--- a/src/amaranthferry/config.py
+++ b/src/amaranthferry/config.py
@@ -1,5 +1,7 @@
 """Define the compiled settings of a deployment as typed, immutable values."""
 
+from typing import Any, Self
+
 import msgspec
 
 from .types import (
@@ -21,6 +23,7 @@
 
 KIBIBYTE = 1024
 MEBIBYTE = 1024 * KIBIBYTE
+BYTES_PER_MEGABIT = 125_000
 
 
 class Tier(msgspec.Struct, frozen=True):
@@ -93,12 +96,36 @@
     minimum_share: float = 0.1
 
 
+class MoveRules(msgspec.Struct, frozen=True):
+    """Define how engines copy the memory of a run to each other; sizes in bytes."""
+
+    token_bytes: float
+    link_rate: float
+    handle_lifetime: Seconds = 5.0
+
+    @classmethod
+    def from_config(
+        cls, moves: Any, token_bytes: Any, link_mbps: Any, handle_lifetime: Any
+    ) -> Self | None:
+        """Return the rules; no run moves where a part of them is off or unreadable."""
+        sizes = (token_bytes, link_mbps, handle_lifetime)
+        numbers = [item for item in sizes if type(item) in (int, float) and item > 0]
+        if moves is not True or len(numbers) < len(sizes):
+            return None
+        return cls(numbers[0], numbers[1] * BYTES_PER_MEGABIT, numbers[2])
+
+    def copy_time(self, tokens: float, *, same_zone: bool) -> Seconds:
+        """Return the time of a copy on idle links, which is doubled between zones."""
+        seconds = tokens * self.token_bytes / self.link_rate
+        return seconds if same_zone else 2 * seconds
+
+
 class PoolRules(msgspec.Struct, frozen=True):
     """Define how the hosts coordinate the requests of one pool.
 
     The repeat budget is per host: the ratio of repeats to first dispatches, the burst
     of repeats, and the repeats refilled per second. A notice interval of 0 disables
-    queue notices.
+    queue notices, and runs move between engines only where there are `moves`.
     """
 
     repeat_ratio: float = 0.0
@@ -109,6 +136,7 @@
     notice_interval: Seconds = 0.0
     rebuild_timeout: Seconds = 2.0
     orphan_timeout: Seconds = 30.0
+    moves: MoveRules | None = None
 
 
 DEFAULT_RULES = PoolRules()
--- a/src/amaranthferry/coordinator.py
+++ b/src/amaranthferry/coordinator.py
@@ -10,6 +10,7 @@
     BackendServer,
     Deployment,
     Limits,
+    MoveRules,
     Pool,
     PoolRules,
     Quota,
@@ -35,6 +36,7 @@
 from .placement import Caution, Chooser, PlacementLimits
 from .policy import Policy
 from .quota import MIN_REPORTED_FRACTION, QuotaLedger
+from .relocation.state import MoveBook
 from .servers import ServerRecord
 from .shards import choose_coordinator, pool_of, servers_of, shards_of
 from .slot_shares import SlotShares
@@ -77,6 +79,7 @@
         self.lengths = LengthEstimate()
         self.fair_share = FairShare()
         self.permits = PermitLedger()
+        self.moves = MoveBook()
         self.sequence = 0
         self._unregistered = set(self.hosts)
         self._next_advert_at = now
@@ -150,6 +153,11 @@
         self._rates_version = None
         self._apply_shares()
 
+    @property
+    def move_rules(self) -> MoveRules | None:
+        """Return how runs of this shard move, or None where they don't."""
+        return self._rules.moves
+
     @property
     def has_role(self) -> bool:
         """Return whether this decider is the shard's coordinator in its host's view."""
--- a/src/amaranthferry/coordinator_reducer.py
+++ b/src/amaranthferry/coordinator_reducer.py
@@ -42,6 +42,16 @@
     Registration,
     UsageElsewhere,
 )
+from .relocation.coordination import (
+    drop_move,
+    end_move,
+    follow_progress,
+    follow_registration,
+    follow_release,
+    propose_moves,
+    review_runs,
+)
+from .relocation.messages import MoveReport
 from .servers import Permit
 from .types import HostId, Seconds
 
@@ -71,6 +81,7 @@
     for record in coordinator.servers.values():
         record.hold_offs.expire(now)
     coordinator.permits.prune_closed(now)
+    effects += review_runs(coordinator, now)
     effects += grant_waiting(coordinator, now) + review(coordinator, now)
     effects += coordinator.queue_notices(coordinator.queue.hosts(), now)
     return effects + coordinator.adverts(now)
@@ -154,6 +165,8 @@
     permit = coordinator.permits.get(message.request_id)
     if permit is None or permit.host != sender:
         return []
+    if not follow_progress(coordinator, permit, message):
+        return []
     effects: list[Effect] = []
     if message.first_token > 0 and not permit.first_token_seen:
         effects = _prediction_error(permit, message.first_token)
@@ -194,8 +207,10 @@
     permit = coordinator.permits.get(message.request_id)
     if permit is None or permit.host != sender:
         return []
+    follow_release(coordinator, permit, message)
     if permit.server.cfg.name != message.server:
         return []
+    drop_move(coordinator, permit)
     _record_result(coordinator, permit, message, now)
     if message.sound:
         _record_sound(coordinator, permit, now)
@@ -220,6 +235,7 @@
         coordinator.permits.close(message.request_id, now, attempts=attempts)
     if message.hold_off > 0:
         effects += refuse_held_off(coordinator, sender, now)
+    effects += propose_moves(coordinator, now)
     return effects + grant_waiting(coordinator, now)
 
 
@@ -276,6 +292,7 @@
         record = coordinator.servers.get(work.server)
         if record is not None:
             coordinator.queue.remove(work.request.request_id)
+            follow_registration(coordinator, work, sender)
             coordinator.permits.restore(work, sender, record, now)
     effects = _report_unlisted(coordinator, unlisted, now)
     for waiting in message.waiting:
@@ -307,6 +324,14 @@
     return effects
 
 
+@_receive.register
+def _(
+    message: MoveReport, coordinator: Coordinator, sender: HostId, now: Seconds
+) -> list[Effect]:
+    end_move(coordinator, message, sender, now)
+    return grant_waiting(coordinator, now)
+
+
 @_receive.register
 def _(
     message: UsageElsewhere, coordinator: Coordinator, sender: HostId, now: Seconds
--- a/src/amaranthferry/core.py
+++ b/src/amaranthferry/core.py
@@ -15,6 +15,7 @@
 from .effects import Effect
 from .events import Event
 from .harm import updates
+from .relocation import hosting
 from .state import HostState
 
 __all__ = [
@@ -22,6 +23,7 @@
     "coordination",
     "entry",
     "fallback",
+    "hosting",
     "updates",
     "reduce",
     "running",
--- a/src/amaranthferry/effects.py
+++ b/src/amaranthferry/effects.py
@@ -202,3 +202,14 @@
 
     name: str
     value: float
+
+
+class MoveRun(Effect, frozen=True):
+    """Have a running request go on at another engine.
+
+    `patience` is the time in which the first copy of its memory should be complete.
+    """
+
+    request_id: RequestId
+    server: ServerId
+    patience: Seconds
--- a/src/amaranthferry/events.py
+++ b/src/amaranthferry/events.py
@@ -4,6 +4,7 @@
 
 from .config import Deployment
 from .messages import Message, ServerIncarnation
+from .relocation.messages import MoveOutcome
 from .types import (
     ClassId,
     HostId,
@@ -181,6 +182,7 @@
 
     request_id: RequestId
     output_tokens: Tokens
+    movable: bool = False
 
 
 class DispatchFinished(Event, frozen=True):
@@ -242,3 +244,17 @@
     """Refuse what waits and may not end before this host does, at `ends_at`."""
 
     ends_at: Seconds
+
+
+class RunMoved(Event, frozen=True):
+    """Report that a running request goes on at another engine."""
+
+    request_id: RequestId
+    server: ServerId
+
+
+class MoveEnded(Event, frozen=True):
+    """Report a move after which the request isn't at the proposed engine."""
+
+    request_id: RequestId
+    outcome: MoveOutcome
--- a/src/amaranthferry/gateway/decisions.py
+++ b/src/amaranthferry/gateway/decisions.py
@@ -21,6 +21,7 @@
 from ..harm.ledger import Hold
 from ..harm.subjects import SubjectState
 from ..messages import Message, PermitGrant, PermitRefusal
+from ..relocation.messages import MoveProposal
 from ..servers import Permit
 from ..state import HostState
 from ..types import HostId, Seconds, ServerId, ServerSignal, ShardId
@@ -97,6 +98,27 @@
     )
 
 
+@log_decision.register
+def _(message: MoveProposal, state: HostState, host: HostId) -> None:
+    coordinator = _coordinator(state, message.shard)
+    pending = coordinator.moves.get(message.request_id) if coordinator else None
+    if pending is None:
+        return
+    move = pending.move
+    _log.info(
+        LogEvent.MOVE_PROPOSED,
+        request_id=message.request_id,
+        asker=host,
+        source=message.source,
+        server=message.target,
+        stays=round(move.stays, 3),
+        moves=round(move.moves, 3),
+        copy_time=round(move.copy_time, 4),
+        left=round(move.run.left, 3),
+        written=move.run.written,
+    )
+
+
 def log_forecast(effect: ReportForecast) -> None:
     """Log the forecast on which a request is refused; the refusal follows."""
     _log.info(
--- a/src/amaranthferry/gateway/dispatching.py
+++ b/src/amaranthferry/gateway/dispatching.py
@@ -16,6 +16,8 @@
     DispatchRefused,
     Event,
     FirstTokenSeen,
+    MoveEnded,
+    RunMoved,
     ServerHoldOffSeen,
     ServerLeavingSeen,
     ServerLimitSeen,
@@ -33,6 +35,7 @@
 from ..memory import AnswerMemory
 from ..messages import ServerIncarnation
 from ..platform import headers
+from ..relocation.messages import MoveOutcome
 from ..types import (
     Decider,
     PoolId,
@@ -45,6 +48,7 @@
 )
 from .exchange import RoutedExchange
 from .log_events import LogEvent
+from .moving import Move, MoveTarget, Spawn
 from .patience import AnswerTimes, even_part
 from .sse import EventReader, ResumedRun, UnprovenEvent
 
@@ -114,6 +118,8 @@
         is_limited: Callable[[], bool],
         answers: AnswerMemory,
         times: AnswerTimes,
+        moves: bool,
+        spawn: Spawn,
     ) -> None:
         self._exchange = exchange
         self.decided_by = decided_by
@@ -126,6 +132,10 @@
         self._is_limited = is_limited
         self._answers = answers
         self._times = times
+        #: Whether the run may go on at another engine by a copy of its memory.
+        self._moves = moves
+        self._spawn = spawn
+        self._move: Move | None = None
         self._sent_at: Seconds = 0.0
         self._tokens: Tokens = 0
         self._reported_at: Seconds = 0.0
@@ -209,7 +219,9 @@
             end = await self._exchange_messages(self._conn)
         except BaseException:
             self._conn.abort()
+            self._abandon_move()
             raise
+        self._abandon_move()
         if end is _AnswerEnd.COMPLETE:
             self._conn.close()
         else:
@@ -266,7 +278,9 @@
             if self._started_at is None and isinstance(exc, TimeoutError):
                 self._times.back_off(self.service, self._clock() - self._sent_at)
             details = self.answer_details() | self._break_details()
-            if not conn.connected:
+            # A server that ends after a run has stopped there doesn't end under it.
+            stopped = self._move is not None and self._move.is_broken
+            if not stopped and (self._conn is None or not self._conn.connected):
                 self.process = await check_process(
                     self._server.address, timeout=CHECK_TIMEOUT
                 )
@@ -432,12 +446,22 @@
             self._resumed = ResumedRun(self._exchange.last_event_id)
         resumes = bool(self._call.params.last_event_id)
         self._exchange.begin(start)
-        self._reader = reader = EventReader(complete_only=self._call.route.resumable)
+        complete_only = self._call.route.resumable or self._moves
+        self._reader = reader = EventReader(complete_only=complete_only)
         self._progress_at = self._clock()
-        conn.relay_to(lambda chunk: self._relay_now(chunk, reader))
-        while chunk := await self._wait_for(conn.chunk, self._gap_timeout):
-            if passed := self._process(chunk, reader):
-                await self._exchange.feed(passed)
+        while True:
+            try:
+                await self._relay_run(conn, start, reader)
+                break
+            except (BrokenAnswer, TimeoutError):
+                moved = await self._continue_moved_run()
+                if moved is None:
+                    raise
+                conn, start = moved
+            self._resumed = ResumedRun(self._exchange.last_event_id)
+            resumes = True
+            self._reader = reader = EventReader(complete_only=True)
+            self._progress_at, self._unfinished = self._clock(), 0
         if reader.is_inside_event:
             raise BrokenAnswer("The stream ended inside an event.")
         unframed = start.framing is AnswerFraming.CONNECTION_END
@@ -451,6 +475,126 @@
         self._exchange.finish()
         return _AnswerEnd.COMPLETE
 
+    async def _relay_run(
+        self, conn: HttpConnection, start: AnswerStart, reader: EventReader
+    ) -> None:
+        """Relay what one engine writes, up to the end of its stream."""
+        conn.relay_to(lambda chunk: self._relay_now(chunk, reader))
+        while chunk := await self._wait_for(conn.chunk, self._gap_timeout):
+            if passed := self._process(chunk, reader):
+                await self._exchange.feed(passed)
+        unframed = start.framing is AnswerFraming.CONNECTION_END
+        if not unframed or self._move is None:
+            return
+        # Such a stream ends alike whether its run is complete or has been stopped.
+        if await self._move.stopped() or self._move.is_stop_in_doubt:
+            raise BrokenAnswer("The run has been stopped, or may have been.")
+
+    def move_to(self, target: MoveTarget) -> None:
+        """Begin to move the run; a move that can't begin is reported as declined."""
+        reason = self._why_unmovable()
+        if reason:
+            self._log(LogEvent.MOVE_DECLINED, target=target.server.name, reason=reason)
+            request_id, outcome = self._call.request_id, MoveOutcome.DECLINED
+            self._report(
+                MoveEnded(now=self._clock(), request_id=request_id, outcome=outcome)
+            )
+            return
+        conn = self._conn
+        assert conn is not None
+        self._move = Move(
+            self._server,
+            target,
+            request_id=self._call.request_id,
+            attempt=self._call.params.attempt,
+            report=self._report,
+            clock=self._clock,
+            spawn=self._spawn,
+            on_stopped=lambda: conn.give_up("The run goes on at another engine."),
+        )
+
+    def _why_unmovable(self) -> str:
+        """Return why the run can't move now, or nothing."""
+        if not self._moves or self._reader is None or self._conn is None:
+            return "no_stream"
+        if self._call.params.attempt != self._call.request_id:
+            return "no_attempt_id"
+        if self._exchange.is_full:
+            # Its caller might not read until the copy has expired.
+            return "slow_caller"
+        if not self._exchange.last_event_id:
+            return "no_event_id"
+        if self._move is not None and not self._move.is_over:
+            return "moving"
+        return "" if self._conn.connected else "ended"
+
+    async def _continue_moved_run(self) -> tuple[HttpConnection, AnswerStart] | None:
+        """Have an engine go on with a run that has stopped; None if none does."""
+        move = self._move
+        if move is None or not await move.stopped():
+            return None
+        if self._conn is not None:
+            self._conn.abort()
+        asks = True
+        while asks:
+            server, incarnation = move.next_server()
+            continued = await self._resume_at(server, move)
+            if continued is not None:
+                self._conn = continued[0]
+                self._server = server
+                self._incarnation = incarnation or self._incarnation
+            asks = move.handle_resumption(accepted=continued is not None)
+            if continued is not None:
+                break
+        if continued is not None and server is move.target.server:
+            now, request_id = self._clock(), self._call.request_id
+            self._report(RunMoved(now=now, request_id=request_id, server=server.name))
+        return continued
+
+    async def _resume_at(
+        self, server: BackendServer, move: Move
+    ) -> tuple[HttpConnection, AnswerStart] | None:
+        """Send the request with the copy of its run; None if it doesn't go on there."""
+        call = self._call
+        try:
+            conn = await HttpConnection.open(server.address, timeout=CONNECT_TIMEOUT)
+        except (OSError, TimeoutError):
+            return None
+        sent = headers.request_headers(
+            call.headers,
+            server=server.name,
+            workspace=call.workspace,
+            remaining=call.deadline - self._clock(),
+            last_event_id=self._exchange.last_event_id,
+            copy=move.copy,
+        )
+        try:
+            async with asyncio.timeout(move.start_timeout):
+                conn.send(call.method, call.target, sent, call.body)
+                start = await conn.start()
+        except (BrokenAnswer, TimeoutError):
+            conn.abort()
+            return None
+        except BaseException:
+            conn.abort()
+            raise
+        if not self._continues(start):
+            conn.abort()
+            return None
+        return conn, start
+
+    def _continues(self, start: AnswerStart) -> bool:
+        """Return whether an answer goes on with the run."""
+        origin = headers.read_answer_origin(start.fields(), start.status)
+        own = not origin.attempt or origin.attempt == self._call.params.attempt
+        ran = origin.signed and not origin.not_executed
+        return own and ran and _is_event_stream(start)
+
+    def _abandon_move(self) -> None:
+        """Free the copy of a run that has ended otherwise."""
+        if self._move is not None:
+            self._move.abandon()
+
     def _relay_now(self, chunk: bytes, reader: EventReader) -> bool:
         """Relay a chunk unless the caller has to be waited for."""
         writer = self._exchange.writer
@@ -516,6 +660,7 @@
                     now=now,
                     request_id=self._call.request_id,
                     output_tokens=self._tokens,
+                    movable=self._moves and not self._why_unmovable(),
                 )
             )
 
--- a/src/amaranthferry/gateway/exchange.py
+++ b/src/amaranthferry/gateway/exchange.py
@@ -13,7 +13,7 @@
 from ..types import Seconds, Tokens
 
 if TYPE_CHECKING:
-    from .dispatching import RoutedCall
+    from .dispatching import Dispatch, RoutedCall
 
 #: Bytes of a stream that wait for a slow caller before its server has to wait too.
 MAX_QUEUED_BYTES = 256 * KIBIBYTE
@@ -68,6 +68,8 @@
         self.caller_disconnected = False
         self.retry_after: Seconds | None = None
         self.task: asyncio.Task[None] | None = None
+        #: The dispatch that runs, or ran last.
+        self.dispatch: Dispatch | None = None
         self.timer: asyncio.TimerHandle | None = None
         self._held_answers: list[HeldAnswer] = []
         #: Whether the caller has its answer, or none is owed any more.
@@ -101,6 +103,11 @@
         self._count(len(chunk) + CHUNK_COST_BYTES)
         self._chunks.put_nowait(chunk)
 
+    @property
+    def is_full(self) -> bool:
+        """Return whether the server has to wait for a slow caller."""
+        return not self._has_room.is_set()
+
     def _count(self, size: int) -> None:
         """Add to the bytes that wait, and have the server wait while there are many."""
         self._queued_bytes += size
--- a/src/amaranthferry/gateway/log_events.py
+++ b/src/amaranthferry/gateway/log_events.py
@@ -104,6 +104,12 @@
     DISPATCH_BROKEN = "dispatch.broken"
     # request_id, server, size, held, limit: bytes of the answers that are read as a whole
     ANSWER_DROPPED = "answer.dropped"
+    # request_id, asker, source, server, stays, moves, copy_time, left, written
+    MOVE_PROPOSED = "move.proposed"
+    # request_id, source, server, outcome, reply, copied_for, paused_for
+    MOVE_ENDED = "move.ended"
+    MOVE_DECLINED = "move.declined"  # request_id, server, reason
+    COPY_NOT_FREED = "copy.not_freed"  # request_id, source, problem
     PERMIT_GRANTED = "permit.granted"  # request_id, asker, server, waited, queue
     # request_id, shard, coordinator, server, reason, age
     PERMIT_RETURNED = "permit.returned"
--- a/src/amaranthferry/gateway/performer.py
+++ b/src/amaranthferry/gateway/performer.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from ..config import BackendServer, MoveRules
 from ..effects import (
     CancelDispatch,
     CloseClaim,
@@ -13,6 +14,7 @@
     Dispatch,
     Effect,
     MakeClaim,
+    MoveRun,
     ObserveMetric,
     ReplayAnswer,
     ReportBackoff,
@@ -32,11 +34,13 @@
     DeadlinePassed,
     DispatchFailed,
     DispatchRefused,
+    MoveEnded,
     PeerLost,
     PeerReceived,
 )
 from ..leaving import incarnation_of
 from ..problems import Problem
+from ..relocation.messages import MoveOutcome
 from ..requests import Request
 from ..shards import pool_of
 from ..state import HostState
@@ -59,6 +63,7 @@
 )
 from .exchange import RoutedExchange
 from .log_events import LogEvent
+from .moving import MoveTarget
 
 if TYPE_CHECKING:
     from .application import Gateway
@@ -234,13 +239,41 @@
         times=app.answer_times,
         is_limited=lambda: app.state.server_rates.is_limited(incarnation),
         answers=app.answers,
+        moves=_moves(app.state, server) is not None,
+        spawn=app.spawn,
     )
+    exchange.dispatch = dispatch
     exchange.task = app.spawn(dispatch.run())
     exchange.task.add_done_callback(
         lambda task: _finish_dispatch(performer, exchange, dispatch, task)
     )
 
 
+def _moves(state: HostState, server: BackendServer) -> MoveRules | None:
+    return state.deployment.rules_of(server.pool).moves
+
+
+@_perform.register
+def _(effect: MoveRun, performer: Performer) -> None:
+    app = performer.app
+    exchange = app.exchanges.get(effect.request_id)
+    server = app.state.deployment.servers.get(effect.server)
+    incarnation = incarnation_of(app.state.deployment, effect.server)
+    rules = None if server is None else _moves(app.state, server)
+    ready = exchange is not None and exchange.dispatch is not None and not app.stopping
+    if server is None or incarnation is None or rules is None or not ready:
+        ended = MoveEnded(
+            now=app.clock(),
+            request_id=effect.request_id,
+            outcome=MoveOutcome.DECLINED,
+        )
+        app.handle_later(ended)
+        return
+    assert exchange is not None and exchange.dispatch is not None
+    target = MoveTarget(server, incarnation, rules, effect.patience)
+    exchange.dispatch.move_to(target)
+
+
 def _decider(state: HostState, req: Request) -> Decider:
     """Return who granted the permit that a request is dispatched with."""
     if state.deployment.rules_of(pool_of(req.shard)).decided_locally:
--- a/src/amaranthferry/messages.py
+++ b/src/amaranthferry/messages.py
@@ -125,7 +125,10 @@
 
 
 class PermitProgress(Message, frozen=True, tag="progress"):
-    """Report a running request's first token or its later progress."""
+    """Report a running request's first token or its later progress.
+
+    `movable` tells that the host could have the run go on at another engine now.
+    """
 
     request_id: RequestId
     shard: ShardId
@@ -133,6 +136,7 @@
     first_token: Seconds
     output_tokens: Tokens
     elapsed: Seconds
+    movable: bool = False
 
 
 class PermitRelease(Message, frozen=True, tag="release"):
--- a/src/amaranthferry/permits.py
+++ b/src/amaranthferry/permits.py
@@ -103,6 +103,12 @@
         self._permits[permit.request.request_id] = permit
         permit.server.add_permit(permit)
 
+    def move(self, permit: Permit, record: ServerRecord) -> None:
+        """Move a permit to the server that has its run now."""
+        permit.server.remove_permit(permit)
+        permit.server = record
+        record.add_permit(permit)
+
     def release(self, permit: Permit) -> None:
         """Remove a permit from the ledger and its server."""
         del self._permits[permit.request.request_id]
--- a/src/amaranthferry/platform/desired.py
+++ b/src/amaranthferry/platform/desired.py
@@ -17,6 +17,7 @@
     RouteTarget,
     Subscriber,
 )
+from ..config import MoveRules
 from ..exceptions import SettingsError
 from ..replica.items import convert_items
 from ..types import (
@@ -84,6 +85,10 @@
     kv_capacity: int = 0
     models: list[_Model] = []
     stride: int = 1
+    moves: Any = None
+    kv_bytes: Any = None
+    link_mbps: Any = None
+    handle_ttl_s: Any = 5
 
 
 class _Service(msgspec.Struct, rename="camel"):
@@ -242,6 +247,9 @@
             kv_tokens=engine.kv_capacity,
             models=tuple(ModelId(model.name) for model in engine.models),
             event_tokens=max(1, engine.stride),
+            moves=MoveRules.from_config(
+                engine.moves, engine.kv_bytes, engine.link_mbps, engine.handle_ttl_s
+            ),
         ),
     )
 
--- a/src/amaranthferry/platform/headers.py
+++ b/src/amaranthferry/platform/headers.py
@@ -22,6 +22,10 @@
 RETRY_AFTER = "retry-after"
 LEAVING = "server-leaving"
 LIMIT = "server-limit"
+KV_FROM = "kv-from"
+
+MOVE_TARGET = "/kv-move"
+HANDLE_TARGET = "/kv-handle/{}"
 
 #: Headers that only the system may set, and hop-by-hop headers.
 _NOT_FORWARDED = frozenset(
@@ -33,7 +37,7 @@
         "x-amaranthferry-pin-ms",
         "x-amaranthferry-retain",
         "x-amaranthferry-kv-backup",
-        "kv-from",
+        KV_FROM,
         "kv-fetch",
         "connection",
         "keep-alive",
@@ -101,6 +105,20 @@
         return self.signed or self.failed
 
 
+class MoveCall(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Ask an engine for a copy of a run, which stops first if it is the `last` one."""
+
+    id: str
+    to: str
+    last: bool = False
+
+
+class MoveReply(msgspec.Struct, frozen=True, rename="camel"):
+    """Name the handle of the copy, if there is one."""
+
+    kv_handle: str = ""
+
+
 class NamedLimit(msgspec.Struct, frozen=True):
     """Represent the limit in an answer's headers, in requests a second.
 
@@ -171,6 +189,7 @@
     workspace: WorkspaceId,
     remaining: Seconds,
     last_event_id: str = "",
+    copy: str = "",
 ) -> list[tuple[str, str]]:
     """Return the headers that one dispatch sends to a server."""
     dropped = _NOT_FORWARDED | _connection_options(received)
@@ -182,6 +201,8 @@
     headers.append((EXPECT_INSTANCE, server))
     if workspace:
         headers.append((TENANT, workspace))
+    if copy:
+        headers.append((KV_FROM, copy))
     return headers
 
 
--- /dev/null
+++ b/src/amaranthferry/relocation/decision.py
@@ -0,0 +1,165 @@
+"""Decide which runs go on at another engine, and where.
+
+A run moves if its engine probably can't complete it in time and another one with a free
+slot probably can. A slot that somebody waits for is taken only if the run gains more by
+it than the first of those who wait loses: the run's own slot becomes free instead.
+"""
+
+from collections.abc import Callable, Iterable, Sequence
+
+import msgspec
+
+from ..config import MoveRules
+from ..types import RequestId, Seconds, ServerId, Tokens, ZoneId
+from .chances import LengthForecast, Pace, completion_chance
+
+#: Chance of completion above which a run isn't considered for a move.
+ENOUGH = 0.6
+#: Least gain in the chance of completion. The forecasts of two engines differ by their
+#: errors alone, and a move that gains no more would be undone by the next one.
+MIN_GAIN = 0.25
+#: Time without events while a run changes over: a connection and a short last copy.
+CHANGEOVER: Seconds = 0.1
+#: Moves of one run. Each costs a slot at two engines while its memory is copied.
+MAX_MOVES = 3
+#: Fraction of the time left that a copy may take.
+MAX_COPY_FRACTION = 0.5
+
+
+class Run(msgspec.Struct, frozen=True):
+    """Describe a run that may move."""
+
+    request_id: RequestId
+    server: ServerId
+    zone: ZoneId
+    tier: int
+    prompt: Tokens
+    written: Tokens
+    length: LengthForecast
+    left: Seconds
+    pace: Pace
+
+
+class Slot(msgspec.Struct, frozen=True):
+    """Describe an engine with a free slot, and its pace with one run more."""
+
+    server: ServerId
+    zone: ZoneId
+    pace: Pace
+
+
+class Waiting(msgspec.Struct, frozen=True):
+    """Describe the first request that waits for a slot."""
+
+    tier: int
+    length: LengthForecast
+    left: Seconds
+
+
+class Move(msgspec.Struct, frozen=True):
+    """Describe a chosen move; chances are those to complete in time."""
+
+    run: Run
+    target: ServerId
+    copy_time: Seconds
+    stays: float
+    moves: float
+
+
+def is_in_doubt(run: Run) -> bool:
+    """Return whether a run probably doesn't complete in time where it is."""
+    return stay_chance(run) < ENOUGH
+
+
+def stay_chance(run: Run) -> float:
+    """Return the chance that a run completes in time where it is."""
+    return completion_chance(run.length, run.pace, run.left, written=run.written)
+
+
+def best_move(
+    run: Run,
+    slots: Iterable[Slot],
+    rules: MoveRules,
+    *,
+    waiting: Waiting | None = None,
+) -> Move | None:
+    """Return the best move of a run in doubt, or None if none gains enough."""
+    stays = stay_chance(run)
+    if stays >= ENOUGH:
+        return None
+    best: Move | None = None
+    for slot in slots:
+        move = _move_to(run, slot, rules, stays)
+        if move is None or not _is_worth_it(move, slot, waiting):
+            continue
+        if best is None or move.moves > best.moves:
+            best = move
+    return best
+
+
+def _move_to(run: Run, slot: Slot, rules: MoveRules, stays: float) -> Move | None:
+    same_zone = run.zone == slot.zone
+    copy_time = rules.copy_time(run.prompt + run.written, same_zone=same_zone)
+    if copy_time > run.left * MAX_COPY_FRACTION:
+        return None
+    # The run goes on at its source while the first copy is made.
+    written_meanwhile = int(run.pace.tokens(copy_time))
+    last_copy = rules.copy_time(written_meanwhile, same_zone=same_zone)
+    left = run.left - copy_time - last_copy - CHANGEOVER
+    recent = run.length.ends_by(
+        run.written + written_meanwhile + max(0.0, left) / slot.pace.recent,
+        written=run.written,
+    )
+    usual = run.length.ends_by(
+        run.written + written_meanwhile + max(0.0, left) / slot.pace.usual,
+        written=run.written,
+    )
+    moves = (recent + usual) / 2
+    if left <= 0 or moves - stays < MIN_GAIN:
+        return None
+    return Move(run, slot.server, copy_time, stays, moves)
+
+
+def _is_worth_it(move: Move, slot: Slot, waiting: Waiting | None) -> bool:
+    """Return whether the first who waits would make less of the slot than the run."""
+    if waiting is None:
+        return True
+    if waiting.tier < move.run.tier:
+        return False
+    at_target = completion_chance(waiting.length, slot.pace, waiting.left, written=0)
+    later = waiting.left - move.copy_time
+    at_source = completion_chance(waiting.length, move.run.pace, later, written=0)
+    return move.moves - move.stays > at_target - at_source
+
+
+def choose_moves(
+    runs: Sequence[Run],
+    slots_for: Callable[[Run], Iterable[Slot]],
+    rules: MoveRules,
+    *,
+    waiting: Waiting | None,
+    busy: Iterable[ServerId],
+) -> list[Move]:
+    """Return the moves that begin now, the most useful ones first.
+
+    Copies queue on the links of both engines, so that each takes part in one at a time.
+    """
+    taken = set(busy)
+    moves = [
+        move
+        for run in runs
+        if run.server not in taken
+        and (
+            move := best_move(run, _free(slots_for(run), taken), rules, waiting=waiting)
+        )
+    ]
+    chosen = []
+    for move in sorted(moves, key=lambda move: move.stays - move.moves):
+        if taken.isdisjoint((move.run.server, move.target)):
+            taken |= {move.run.server, move.target}
+            chosen.append(move)
+    return chosen
+
+
+def _free(slots: Iterable[Slot], taken: set[ServerId]) -> list[Slot]:
+    return [slot for slot in slots if slot.server not in taken]
--- a/src/amaranthferry/requests.py
+++ b/src/amaranthferry/requests.py
@@ -74,6 +74,9 @@
     alone_subjects: tuple[int, ...] = ()
     familiar_parts: tuple[int, ...] = ()
     caller_gone: bool = False
+    #: The engine that the run is being moved to, and the host that proposed it.
+    move_target: ServerId | None = None
+    move_proposer: HostId | None = None
 
     @classmethod
     def from_arrival(cls, arrival: RequestArrived, deployment: Deployment) -> "Request":
--- a/src/amaranthferry/running.py
+++ b/src/amaranthferry/running.py
@@ -90,10 +90,10 @@
         return []
     req.output_tokens = event.output_tokens
     req.last_event_at = state.now
-    return [_progress(state, req)]
+    return [_progress(state, req, movable=event.movable)]
 
 
-def _progress(state: HostState, req: Request) -> Effect:
+def _progress(state: HostState, req: Request, *, movable: bool = False) -> Effect:
     assert req.server is not None
     message = PermitProgress(
         request_id=req.arrival.request_id,
@@ -102,6 +102,7 @@
         first_token=req.first_token,
         output_tokens=req.output_tokens,
         elapsed=state.now - req.dispatched_at,
+        movable=movable,
     )
     return SendToHost(host=state.permit_host(req.shard), message=message)
 
--- a/src/amaranthferry/servers.py
+++ b/src/amaranthferry/servers.py
@@ -47,6 +47,9 @@
     orphaned_until: Seconds | None = None
     #: Suspected subjects that no other permit of this decider has.
     alone_subjects: tuple[int, ...] = ()
+    #: Whether its host could move the run now, and how often it has been tried.
+    movable: bool = False
+    moves: int = 0
 
     @property
     def prefill_tokens(self) -> Tokens:
