--- a/src/amaranthferry/catalog.py
+++ b/src/amaranthferry/catalog.py
@@ -11,6 +11,7 @@
     MEBIBYTE,
     BackendServer,
     Deployment,
+    MoveRules,
     Pool,
     PoolRules,
     Quota,
@@ -117,6 +118,7 @@
     kv_tokens: Tokens
     models: tuple[ModelId, ...] = ()
     event_tokens: Tokens = 1
+    moves: MoveRules | None = None
 
 
 class RoutedService(msgspec.Struct, frozen=True, kw_only=True):
@@ -290,6 +292,7 @@
 
     shared_by_allowance: bool = False
     holds_long_answers: bool = False
+    moves_runs: bool = False
 
 
 NO_FEATURES = PoolFeatures()
@@ -380,7 +383,8 @@
     features: PoolFeatures,
     slots: int,
 ) -> PoolRules:
-    plain = service.engine is None
+    engine = service.engine
+    plain = engine is None
     shared = plain and needs_shared_order(budget_limits.hosts, slots)
     return PoolRules(
         repeat_ratio=budget_limits.repeat_ratio,
@@ -399,6 +403,7 @@
         notice_interval=NOTICE_INTERVAL if shared or not plain else 0.0,
         rebuild_timeout=REBUILD_TIMEOUT,
         orphan_timeout=ORPHAN_TIMEOUT,
+        moves=engine.moves if engine and features.moves_runs else None,
     )
 
 
--- a/src/amaranthferry/gateway/edge.py
+++ b/src/amaranthferry/gateway/edge.py
@@ -26,6 +26,7 @@
 from ..events import RequestArrived
 from ..exceptions import RequestError
 from ..harm.digest import digest_request
+from ..hop_by_hop import answer_headers
 from ..http_connection import AnswerStart
 from ..memory import SMALL_BODY_BYTES, BodyMemory, BodyRoom
 from ..platform import headers
@@ -349,7 +350,7 @@
 
     async def start(self, start: AnswerStart, length: int | None = None) -> None:
         """Write the status and headers of a server's answer."""
-        pairs = headers.answer_headers(start.headers)
+        pairs = answer_headers(start.headers)
         if length is not None:
             pairs = [pair for pair in pairs if pair[0] != "content-length"]
             pairs.append(("content-length", str(length)))
--- a/src/amaranthferry/gateway/options.py
+++ b/src/amaranthferry/gateway/options.py
@@ -34,6 +34,12 @@
     hold_long_answers: bool = False
 
 
+class RelocationOptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Define whether runs move between engines whose service allows it."""
+
+    enabled: bool = False
+
+
 class HostOptions(msgspec.Struct, frozen=True):
     """Define the options of a host; the defaults leave optional features off."""
 
@@ -41,12 +47,14 @@
     hedging: HedgingOptions = HedgingOptions()
     sharing: SharingOptions = SharingOptions()
     placement: PlacementOptions = PlacementOptions()
+    relocation: RelocationOptions = RelocationOptions()
 
     def pool_features(self) -> PoolFeatures:
         """Return which optional decisions the pools make."""
         return PoolFeatures(
             shared_by_allowance=self.sharing.enabled,
             holds_long_answers=self.placement.hold_long_answers,
+            moves_runs=self.relocation.enabled,
         )
 
     @classmethod
--- a/src/amaranthferry/platform/headers.py
+++ b/src/amaranthferry/platform/headers.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from ..hop_by_hop import REQUEST_HEADERS, connection_options
 from ..types import Seconds, ServerId, Tokens, WorkspaceId
 
 ATTEMPT_ID = "x-amaranthferry-attempt-id"
@@ -22,8 +23,12 @@
 RETRY_AFTER = "retry-after"
 LEAVING = "server-leaving"
 LIMIT = "server-limit"
+KV_FROM = "kv-from"
 
-#: Headers that only the system may set, and hop-by-hop headers.
+MOVE_TARGET = "/kv-move"
+HANDLE_TARGET = "/kv-handle/{}"
+
+#: Headers that only the system may set.
 _NOT_FORWARDED = frozenset(
     {
         KEY,
@@ -33,24 +38,10 @@
         "x-amaranthferry-pin-ms",
         "x-amaranthferry-retain",
         "x-amaranthferry-kv-backup",
-        "kv-from",
+        KV_FROM,
         "kv-fetch",
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "content-length",
-        "expect",
     }
 )
-_HOP_BY_HOP_HEADERS = frozenset(
-    {"connection", "keep-alive", "transfer-encoding", "trailer", "upgrade"}
-)
 _HASH_BITS = 64
 _MISDIRECTED_STATUS = 421
 _MIN_FAILURE_STATUS = 300
@@ -101,6 +92,20 @@
         return self.signed or self.failed
 
 
+class MoveCall(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Ask an engine for a copy of a run, which stops first if it is the `last` one."""
+
+    id: str
+    to: str
+    last: bool = False
+
+
+class MoveReply(msgspec.Struct, frozen=True, rename="camel"):
+    """Name the handle of the copy, if there is one."""
+
+    kv_handle: str = ""
+
+
 class NamedLimit(msgspec.Struct, frozen=True):
     """Represent the limit in an answer's headers, in requests a second.
 
@@ -171,9 +176,10 @@
     workspace: WorkspaceId,
     remaining: Seconds,
     last_event_id: str = "",
+    copy: str = "",
 ) -> list[tuple[str, str]]:
     """Return the headers that one dispatch sends to a server."""
-    dropped = _NOT_FORWARDED | _connection_options(received)
+    dropped = _NOT_FORWARDED | REQUEST_HEADERS | connection_options(received)
     headers = [pair for pair in received if pair[0] not in dropped]
     if last_event_id:
         headers = [pair for pair in headers if pair[0] != LAST_EVENT_ID]
@@ -182,24 +188,11 @@
     headers.append((EXPECT_INSTANCE, server))
     if workspace:
         headers.append((TENANT, workspace))
+    if copy:
+        headers.append((KV_FROM, copy))
     return headers
 
 
-def answer_headers(received: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
-    """Return the headers of a server's answer that are relayed to the caller."""
-    dropped = _HOP_BY_HOP_HEADERS | _connection_options(received)
-    return [pair for pair in received if pair[0] not in dropped]
-
-
-def _connection_options(headers: Iterable[tuple[str, str]]) -> set[str]:
-    return {
-        name.strip().lower()
-        for key, value in headers
-        if key == "connection"
-        for name in value.split(",")
-    }
-
-
 def read_answer_origin(headers: Mapping[str, str], status: int) -> AnswerOrigin:
     """Parse the origin of an answer; status 421 also means not executed."""
     return AnswerOrigin(
--- a/src/amaranthferry/requests.py
+++ b/src/amaranthferry/requests.py
@@ -82,6 +82,9 @@
     exposed: bool = False
     #: Least number of excluded servers, by which coordinators tell attempts apart.
     least_excluded: int = 0
+    #: The engine that the run is being moved to, and the host that proposed it.
+    move_target: ServerId | None = None
+    move_proposer: HostId | None = None
 
     @classmethod
     def from_arrival(cls, arrival: RequestArrived, deployment: Deployment) -> "Request":
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -169,12 +169,12 @@
         self._stack.push_async_callback(running.stop)
         return running
 
-    async def add_host(self, name, **bounds):
+    async def add_host(self, name, *, options=None, **bounds):
         addresses = [free_address() for _ in range(4)]
         text = settings_text(
             name, store=self.store_address, addresses=addresses, **bounds
         )
-        app = Gateway.from_config(HostSettings.from_text(text))
+        app = Gateway.from_config(HostSettings.from_text(text), options)
         await app.start()
         self._stack.push_async_callback(app.stop)
         self.hosts.append(app)
