--- a/src/amaranthferry/soak/processes.py
+++ b/src/amaranthferry/soak/processes.py
@@ -27,14 +27,14 @@
     Only processes that this object has started are signalled.
     """
 
-    def __init__(self, name: str, store: str, folder: Path) -> None:
+    def __init__(self, name: str, store: str, folder: Path, **settings: float) -> None:
         self.name = name
         self.addresses = [free_address() for _ in range(4)]
         self.starts = 0
         self._settings = folder / f"{name}.conf"
         self._log = folder / f"{name}.log"
         self._settings.write_text(
-            settings_text(name, store=store, addresses=self.addresses)
+            settings_text(name, store=store, addresses=self.addresses, **settings)
         )
         self._process: asyncio.subprocess.Process | None = None
 
@@ -70,6 +70,12 @@
             return 0
         return read_process_memory(Path(f"/proc/{self._process.pid}/statm")) or 0
 
+    def descriptors(self) -> int:
+        """Return the number of the process's open descriptors, or 0 if it has ended."""
+        if self._process is None or self._process.returncode is not None:
+            return 0
+        return len(os.listdir(f"/proc/{self._process.pid}/fd"))
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process if it runs."""
         if self._process is not None and self._process.returncode is None:
--- a/src/amaranthferry/standins/deployment.py
+++ b/src/amaranthferry/standins/deployment.py
@@ -148,7 +148,8 @@
     revoke: Seconds = REVOCATION_BOUND,
     grace: Seconds = GRACE_TIME,
     processor: float = 1.0,
-    memory_mb: int = MEMORY_LIMIT_MB,
+    memory_mb: float = MEMORY_LIMIT_MB,
+    max_descriptors: float = 0,
 ) -> str:
     """Return the settings file of a host with four addresses on one IP address."""
     ip = addresses[0].partition(":")[0]
@@ -169,6 +170,7 @@
         "bounds.retryBudgetExtra": 100,
         "limits.cpuShare": processor,
         "limits.memoryMb": memory_mb,
+        "limits.maxFds": max_descriptors,
     }
     return "".join(f"{key}={value}\n" for key, value in lines.items())
 
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -73,8 +73,8 @@
 class RunningHost:
     """Run one host as a process before the stand-ins of a fleet."""
 
-    def __init__(self, system, folder, name="stopping"):
-        self._process = HostProcess(name, system.store_address, folder)
+    def __init__(self, system, folder, name="stopping", **settings):
+        self._process = HostProcess(name, system.store_address, folder, **settings)
         self.url = f"http://{self._process.address}"
 
     async def __aenter__(self):
