--- a/src/amaranthferry/gateway/listener.py
+++ b/src/amaranthferry/gateway/listener.py
@@ -13,6 +13,7 @@
 from uvicorn.protocols.http.httptools_impl import (
     STATUS_LINE,
     HttpToolsProtocol,
+    RequestResponseCycle,
 )
 from uvicorn.server import ServerState
 
@@ -98,6 +99,12 @@
         self._pending = bytearray()
         #: Bytes of the current body that are still expected, if its length is known.
         self._body_left = 0
+        #: Whether the head of the current message has ended, and its body has not.
+        self._in_body = False
+        #: Bytes of the current body since its last chunk began or brought something.
+        self._framing_bytes = 0
+        #: The latest request that has been started.
+        self._active: RequestResponseCycle | None = None
         #: Whether the next request waits until the caller has read its responses.
         self._waits_for_reader = False
         #: Whether the connection ends without another request.
@@ -148,8 +155,12 @@
             # Most requests come in one piece, which is not copied.
             piece = data if begin == 0 and end >= size else data[begin:end]
             begin = end
+            self._framing_bytes += len(piece)
             self._feed(piece)
-            self._limit_head(len(piece))
+            if self._in_body:
+                self._limit_framing()
+            else:
+                self._limit_head(len(piece))
         return b"" if self._refused else data[begin:]
 
     def _limit_head(self, size: int) -> None:
@@ -164,6 +175,13 @@
                 self._limits.time, self._refuse, HEAD_TOO_LATE, "The head is too late."
             )
 
+    def _limit_framing(self) -> None:
+        """Limit the bytes of one chunk's head, and of all trailers."""
+        if self._framing_bytes > self._limits.size and not self._refused:
+            self._refuse(
+                HEAD_TOO_LARGE, "The trailers or chunk extensions are too large."
+            )
+
     def _set_read_ahead(self) -> None:
         """Stop reading while enough bytes wait to be parsed."""
         self._flow.has_enough = len(self._pending) >= READ_AHEAD_BYTES
@@ -224,18 +242,46 @@
         return b"\r\n".join(lines) + b"\r\n\r\n"
 
     def _refuse(self, status: int, problem: str) -> None:
-        """Answer what is no request, unless another answer is written, and close."""
+        """Answer what is no request, unless another answer is written, and close.
+
+        A request whose message is broken is given up before it runs: it runs only once
+        its body has arrived as a whole.
+        """
         _log.info(LogEvent.REQUEST_MALFORMED, status=status, problem=problem)
         self._refused = True
         self._pending.clear()
         self._end_head()
-        if self.cycle is not None and not self.cycle.response_complete:
-            self.cycle.keep_alive = False
+        last: RequestResponseCycle | None = self.cycle
+        if self._in_body:
+            if not self._withdraw(self.cycle):
+                self.cycle.disconnected = True
+                self.cycle.message_event.set()
+                if not self.cycle.response_started:
+                    self._write_refusal(status)
+                self.transport.close()
+                return
+            last = self.pipeline[0][0] if self.pipeline else self._active
+        if last is not None and not last.response_complete:
+            last.keep_alive = False
             self.flow.pause_reading()
             return
+        self._write_refusal(status)
+        self.transport.close()
+
+    def _withdraw(self, cycle: RequestResponseCycle) -> bool:
+        """Remove a request that waits for earlier ones; return whether it did."""
+        waited = bool(self.pipeline) and self.pipeline[0][0] is cycle
+        if waited:
+            self.pipeline.popleft()
+        return waited
+
+    def _write_refusal(self, status: int) -> None:
         head = b"%bcontent-length: 0\r\nconnection: close\r\n\r\n"
         self.transport.write(head % STATUS_LINE[status])
-        self.transport.close()
+
+    def _start_asgi_task(self, cycle: RequestResponseCycle, app: Any) -> None:
+        self._active = cycle
+        super()._start_asgi_task(cycle, app)
 
     def _end_head(self) -> None:
         self._head_bytes = None
@@ -254,14 +300,21 @@
             raise HeadTooLarge
         if not self.parser.should_upgrade():
             super().on_headers_complete()
+            self._in_body = True
+            self._framing_bytes = 0
             self._body_left = _announced_length(self.headers)
 
+    def on_chunk_header(self) -> None:
+        self._framing_bytes = 0
+
     def on_body(self, body: bytes) -> None:
+        self._framing_bytes = 0
         self._body_left = max(0, self._body_left - len(body))
         if not self.parser.should_upgrade():
             super().on_body(body)
 
     def on_message_complete(self) -> None:
+        self._in_body = False
         self._body_left = 0
         if not self.parser.should_upgrade():
             super().on_message_complete()
