--- a/src/amaranthferry/gateway/application.py
+++ b/src/amaranthferry/gateway/application.py
@@ -21,6 +21,8 @@
     SettingsApplied,
     Ticked,
 )
+from ..intake.accounting import Intake
+from ..intake.state import IntakeLimits, Port
 from ..membership import Member, MembershipAgent
 from ..memory import AnswerMemory, BodyMemory, MemoryBudget
 from ..messages import Message, StoreUpdate, StoreUpdateRequest
@@ -43,7 +45,7 @@
 from .dispatching import RoutedCall
 from .edge import Edge, Receive, Scope, Send
 from .exchange import RoutedExchange
-from .footprint import Footprint
+from .footprint import Footprint, process_descriptors
 from .joining import JoiningHosts
 from .lateness import Lateness
 from .listener import Listener
@@ -136,7 +138,16 @@
         self.peers: PeerNetwork | None = None
         self.telemetry = Telemetry()
         self.lateness = Lateness(self.clock())
-        self._memory_budget = MemoryBudget.from_limit(settings.memory)
+        intake = self.options.intake
+        self._memory_budget = MemoryBudget.from_limit(
+            settings.memory, intake.memory_share
+        )
+        limits = IntakeLimits.from_budget(
+            self._memory_budget,
+            descriptors=settings.max_descriptors or process_descriptors(),
+            descriptor_share=intake.descriptor_share,
+        )
+        self.intake = Intake(limits)
         self.answers = AnswerMemory(self._memory_budget.answers)
         self.answer_times = AnswerTimes()
         self.bodies = BodyMemory(self._memory_budget.bodies)
@@ -171,11 +182,20 @@
         self._performer = Performer(self)
         self.syncs = self._create_syncs()
         self._edge = Edge(self)
-        self._frontend = Listener(self._edge, settings.frontend)
-        self._readiness = Listener(self._answer_readiness, settings.readiness)
+        self._frontend = Listener(
+            self._edge, settings.frontend, port=Port.CALLERS, intake=self.intake
+        )
+        self._readiness = Listener(
+            self._answer_readiness,
+            settings.readiness,
+            port=Port.READINESS,
+            intake=self.intake,
+        )
         # The deployment file refers to the last port of the range for metrics.
         metrics_address = f"{settings.address}:{settings.ports[1]}"
-        self._metrics = Listener(OperatorApi(self), metrics_address)
+        self._metrics = Listener(
+            OperatorApi(self), metrics_address, port=Port.METRICS, intake=self.intake
+        )
         self._idle = asyncio.Event()
         self._sequence = 0
 
@@ -347,6 +367,7 @@
         states = [sync.state for sync in self.syncs.values()]
         return {
             "open_requests": len(self.exchanges),
+            "connection_bytes": self.intake.held,
             "answer_bytes": self.answers.held,
             "body_bytes": self.bodies.held,
             "kept_changes": sum(state.kept_changes for state in states),
@@ -548,6 +569,8 @@
         if now - self._waiting_logged_at >= WAITING_LOG_PERIOD:
             self._waiting_logged_at = now
             log_waiting(self.state, now)
+            for listener in (self._frontend, self._readiness, self._metrics):
+                listener.account()
             self._footprint.check(self.held_items)
         current = self.freshness.is_current(now)
         if current is not self._keys_current:
--- a/src/amaranthferry/gateway/footprint.py
+++ b/src/amaranthferry/gateway/footprint.py
@@ -1,6 +1,7 @@
 """Measure the memory of the process, and log when it nears its limit."""
 
 import mmap
+import resource
 from collections.abc import Callable
 from pathlib import Path
 
@@ -24,6 +25,12 @@
         return None
 
 
+def process_descriptors() -> int:
+    """Return how many descriptors the process may open, or 0 without a limit."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return 0 if soft == resource.RLIM_INFINITY else soft
+
+
 class Footprint:
     """Log once each time the memory of the process rises above a part of its limit."""
 
--- a/src/amaranthferry/gateway/log_events.py
+++ b/src/amaranthferry/gateway/log_events.py
@@ -19,8 +19,8 @@
     SIGNAL_STOP = "signal.stop"  # repeated
     SIGNAL_RELOAD = "signal.reload"  # taken
     HOST_LAGGING = "host.lagging"  # late, ticks; at most one a second
-    # process, limit, open_requests, answer_bytes, body_bytes, kept_changes,
-    # kept_change_bytes; once until the memory has fallen
+    # process, limit, open_requests, connection_bytes, answer_bytes, body_bytes,
+    # kept_changes, kept_change_bytes; once until the memory has fallen
     MEMORY_HIGH = "memory.high"
     TASK_RESTARTED = "task.restarted"  # task, exception
     TASK_FAILED = "task.failed"  # exception; written by the shell of all hosts
--- a/src/amaranthferry/gateway/options.py
+++ b/src/amaranthferry/gateway/options.py
@@ -1,16 +1,28 @@
 """Read the operator's own options of an entry host, an optional INI file."""
 
 from pathlib import Path
-from typing import Any, Self
+from typing import Annotated, Any, Self
 
 import msgspec
 
 from ..exceptions import SettingsError
+from ..memory import CONNECTION_SHARE
+from ..types import Seconds
+
+Share = Annotated[float, msgspec.Meta(gt=0, lt=1)]
 
 
 class IntakeOptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Limit what callers may make a host hold."""
 
+    #: Part of the host's memory for all connections together.
+    memory_share: Share = CONNECTION_SHARE
+    #: Part of the descriptors for callers' connections. A request in progress takes one
+    #: descriptor for its caller and one for its server.
+    descriptor_share: Share = 0.5
+    #: Time in which a caller reads some of what is left of its responses.
+    unread_s: Annotated[Seconds, msgspec.Meta(gt=0)] = 30.0
+
 
 class HedgingOptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Define whether slow requests get a second run, and the limit of the extra work."""
--- a/src/amaranthferry/memory.py
+++ b/src/amaranthferry/memory.py
@@ -25,6 +25,10 @@
 SMALL_BODY_BYTES = 64 * KIBIBYTE
 #: Part of the limit for the changes of one kind that are retained for other hosts.
 KEPT_CHANGE_SHARE = 0.01
+#: Part of the limit for what is held for the connections of callers.
+CONNECTION_SHARE = 0.1
+#: Room of all connections at least, so that one head of the greatest size has some.
+MIN_CONNECTION_BYTES = 2 * MEBIBYTE
 #: Size up to which an answer never gives way. The servers' slots bound the number of
 #: such answers.
 SMALL_ANSWER_BYTES = 64 * KIBIBYTE
@@ -34,11 +38,17 @@
     """Define how many bytes each part of a host may hold."""
 
     limit: int
+    connection_share: float = CONNECTION_SHARE
 
     @classmethod
-    def from_limit(cls, limit: int) -> Self:
+    def from_limit(cls, limit: int, connection_share: float = CONNECTION_SHARE) -> Self:
         """Build the budget of a host; 0 stands for an unknown limit."""
-        return cls(limit or DEFAULT_LIMIT)
+        return cls(limit or DEFAULT_LIMIT, connection_share)
+
+    @property
+    def connections(self) -> int:
+        """Return the bytes that are held for all connections."""
+        return max(MIN_CONNECTION_BYTES, int(self.limit * self.connection_share))
 
     @property
     def answers(self) -> int:
