--- a/src/amaranthferry/gateway/application.py
+++ b/src/amaranthferry/gateway/application.py
@@ -45,10 +45,11 @@
 from .dispatching import RoutedCall
 from .edge import Edge, Receive, Scope, Send
 from .exchange import RoutedExchange
+from .flow import ConnectionLimits
 from .footprint import Footprint, process_descriptors
 from .joining import JoiningHosts
 from .lateness import Lateness
-from .listener import Listener
+from .listener import Application, Listener
 from .log_events import LogEvent
 from .operator_api import OperatorApi, answer
 from .options import HostOptions
@@ -182,20 +183,13 @@
         self._performer = Performer(self)
         self.syncs = self._create_syncs()
         self._edge = Edge(self)
-        self._frontend = Listener(
-            self._edge, settings.frontend, port=Port.CALLERS, intake=self.intake
-        )
-        self._readiness = Listener(
-            self._answer_readiness,
-            settings.readiness,
-            port=Port.READINESS,
-            intake=self.intake,
+        self._frontend = self._listener(self._edge, settings.frontend, Port.CALLERS)
+        self._readiness = self._listener(
+            self._answer_readiness, settings.readiness, Port.READINESS
         )
         # The deployment file refers to the last port of the range for metrics.
         metrics_address = f"{settings.address}:{settings.ports[1]}"
-        self._metrics = Listener(
-            OperatorApi(self), metrics_address, port=Port.METRICS, intake=self.intake
-        )
+        self._metrics = self._listener(OperatorApi(self), metrics_address, Port.METRICS)
         self._idle = asyncio.Event()
         self._sequence = 0
 
@@ -206,6 +200,12 @@
         """Build an entry host from its settings and the operator's options."""
         return cls(settings, options)
 
+    def _listener(self, application: Application, address: str, port: Port) -> Listener:
+        limits = ConnectionLimits(unread=self.options.intake.unread_s)
+        return Listener(
+            application, address, port=port, intake=self.intake, limits=limits
+        )
+
     def _create_syncs(self) -> dict[str, StoreSync]:
         max_kept_bytes = self._memory_budget.kept_changes
         config = SyncState(
--- a/src/amaranthferry/gateway/connection.py
+++ b/src/amaranthferry/gateway/connection.py
@@ -1,13 +1,11 @@
 """Read the requests of one connection, and bound what is held for it."""
 
 import asyncio
-from typing import Any, Protocol
+from typing import Any
 
 import httptools
-import msgspec
 import structlog
 import uvicorn
-from uvicorn.protocols.http.flow_control import FlowControl
 from uvicorn.protocols.http.httptools_impl import (
     STATUS_LINE,
     HttpToolsProtocol,
@@ -18,8 +16,9 @@
 from ..config import KIBIBYTE
 from ..intake.accounting import Intake
 from ..intake.costs import connection_size
-from ..intake.state import Port
+from ..intake.state import Cause, Port
 from ..types import Seconds
+from .flow import FLOW_STATE, ConnectionLimits, Flow, HeadTooLarge, UnreadWatch
 from .log_events import LogEvent
 
 #: Bytes that are parsed at once. The requests in them are held in parsed form, which
@@ -30,8 +29,6 @@
 READ_AHEAD_BYTES = 16 * KIBIBYTE
 #: Change of what is held for a connection from which on it is told.
 ACCOUNTED_BYTES = KIBIBYTE
-#: Key of a request's `FlowState` in its ASGI state.
-FLOW_STATE = "flow"
 UPGRADE = b"upgrade"
 CONNECT = b"CONNECT"
 MALFORMED = 400
@@ -40,33 +37,6 @@
 _log = structlog.get_logger(__name__)
 
 
-class FlowState(Protocol):
-    """Tell whether writes to a connection have to wait for its peer to read."""
-
-    write_paused: bool
-
-
-class HeadTooLarge(Exception):  # noqa: N818
-    """Report a request whose head is over the limit; internal."""
-
-
-class HeadLimits(msgspec.Struct):
-    """Define how large a request's head may be, in bytes, and how long it may take."""
-
-    size: int = 64 * KIBIBYTE
-    time: Seconds = 10.0
-
-
-class _Flow(FlowControl):
-    """Pause reading also while enough bytes wait to be parsed."""
-
-    has_enough = False
-
-    def resume_reading(self) -> None:
-        if not self.has_enough:
-            super().resume_reading()
-
-
 class CallerConnection(HttpToolsProtocol, asyncio.BufferedProtocol):
     """Read each request as its caller has framed it, without protocol upgrades.
 
@@ -81,7 +51,7 @@
     def __init__(
         self,
         *,
-        limits: HeadLimits,
+        limits: ConnectionLimits,
         config: uvicorn.Config,
         server_state: ServerState,
         read_buffer: memoryview,
@@ -111,14 +81,23 @@
         #: Bytes of the head that is arriving, or None outside of heads.
         self._head_bytes: int | None = None
         self._head_timer: asyncio.TimerHandle | None = None
+        self._late_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Count the new connection."""
         super().connection_made(transport)
-        self.flow = self._flow = _Flow(transport)
+        self.flow = self._flow = Flow(transport)
         self.app_state[FLOW_STATE] = self.flow
+        self._unread = UnreadWatch(transport, self._limits.unread, self._end_unread)
         self._holding = self._intake.open(self._port, self._give_way)
         self.account()
+        self._arm_idle(max(self._limits.first_idle, self.timeout_keep_alive))
+
+    def _arm_idle(self, idle: Seconds) -> None:
+        """Close the connection after a time unless a request begins."""
+        self.timeout_keep_alive_task = self.loop.call_later(
+            idle, self.timeout_keep_alive_handler
+        )
 
     def _give_way(self) -> None:
         """End the connection in favour of others."""
@@ -143,6 +122,9 @@
         """Release what is held for the connection."""
         self._end_head()
         self._pending.clear()
+        self._end_late_body()
+        self._unread.stop()
+        self._unset_keepalive_if_required()
         self._intake.close(self._holding)
         super().connection_lost(exc)
 
@@ -156,9 +138,10 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse what has been read, or keep it until the request in progress ends."""
-        self._unset_keepalive_if_required()
         if self._refused:
             return
+        if self._in_body:
+            self._unset_keepalive_if_required()
         if self._pending or self._is_busy:
             self._pending += data
         else:
@@ -195,16 +178,19 @@
         if self._head_bytes is None or self.transport.is_closing():
             return
         self._head_bytes += size
-        if self._head_bytes > self._limits.size:
+        if self._head_bytes > self._limits.head_size:
             self._refuse(HEAD_TOO_LARGE, "The head is too large.")
         elif self._head_timer is None:
             self._head_timer = self.loop.call_later(
-                self._limits.time, self._refuse, HEAD_TOO_LATE, "The head is too late."
+                self._limits.head_time,
+                self._refuse,
+                HEAD_TOO_LATE,
+                "The head is too late.",
             )
 
     def _limit_framing(self) -> None:
         """Limit the bytes of one chunk's head, and of all trailers."""
-        if self._framing_bytes > self._limits.size and not self._refused:
+        if self._framing_bytes > self._limits.head_size and not self._refused:
             self._refuse(
                 HEAD_TOO_LARGE, "The trailers or chunk extensions are too large."
             )
@@ -219,6 +205,7 @@
         """Begin the next request once the response is read."""
         if self.flow.write_paused and not self.transport.is_closing():
             self._waits_for_reader = True
+            self._unread.watch()
         else:
             self._advance()
 
@@ -234,10 +221,18 @@
         self._intake.complete(self._holding)
         self._body_bytes = 0
         super().on_response_complete()
+        if self.transport.is_closing():
+            self._unread.watch()
+        elif self._in_body and not self.pipeline:
+            self._late_timer = self.loop.call_later(
+                self._limits.late_body,
+                self._intake.end,
+                self._holding,
+                Cause.LATE_BODY,
+            )
         if self._pending and not self.transport.is_closing() and not self._is_busy:
             data = bytes(self._pending)
             self._pending.clear()
-            self._unset_keepalive_if_required()
             self._pending += self._parse(data)
             was_full = self._flow.has_enough
             self._set_read_ahead()
@@ -245,6 +240,21 @@
                 self.flow.resume_reading()
         self.account()
 
+    def _end_unread(self) -> None:
+        if self._waits_for_reader or self.transport.is_closing():
+            self._intake.end(self._holding, Cause.UNREAD)
+
+    def timeout_keep_alive_handler(self) -> None:
+        """Close an idle connection."""
+        super().timeout_keep_alive_handler()
+        self._unread.watch()
+
+    def shutdown(self) -> None:
+        """Close the connection once no request is in progress."""
+        super().shutdown()
+        if self.transport.is_closing():
+            self._unread.watch()
+
     def _feed(self, data: bytes) -> None:
         while data:
             try:
@@ -290,7 +300,7 @@
                 self.cycle.message_event.set()
                 if not self.cycle.response_started:
                     self._write_refusal(status)
-                self.transport.close()
+                self._close()
                 return
             last = self.pipeline[0][0] if self.pipeline else self._active
         if last is not None and not last.response_complete:
@@ -298,7 +308,11 @@
             self.flow.pause_reading()
             return
         self._write_refusal(status)
+        self._close()
+
+    def _close(self) -> None:
         self.transport.close()
+        self._unread.watch()
 
     def _withdraw(self, cycle: RequestResponseCycle) -> bool:
         """Remove a request that waits for earlier ones; return whether it did."""
@@ -313,7 +327,19 @@
 
     def _start_asgi_task(self, cycle: RequestResponseCycle, app: Any) -> None:
         self._active = cycle
-        super()._start_asgi_task(cycle, app)
+        task = self.loop.create_task(cycle.run_asgi(app))
+        task.add_done_callback(self._end_task)
+        self.tasks.add(task)
+
+    def _end_task(self, task: asyncio.Task[None]) -> None:
+        self.tasks.discard(task)
+        if self.transport.is_closing():
+            self._unread.watch()
+
+    def _end_late_body(self) -> None:
+        if self._late_timer is not None:
+            self._late_timer.cancel()
+            self._late_timer = None
 
     def _end_head(self) -> None:
         self._head_bytes = None
@@ -324,13 +350,14 @@
     def on_message_begin(self) -> None:
         """Begin to count a head."""
         super().on_message_begin()
+        self._unset_keepalive_if_required()
         self._head_bytes = 0
 
     def on_headers_complete(self) -> None:
         """Check the size of a head, and begin its request."""
         self._end_head()
         size = len(self.url) + sum(len(k) + len(v) for k, v in self.headers)
-        if size > self._limits.size:
+        if size > self._limits.head_size:
             raise HeadTooLarge
         if not self.parser.should_upgrade():
             super().on_headers_complete()
@@ -357,8 +384,11 @@
         self._body_left = 0
         if not self.parser.should_upgrade():
             super().on_message_complete()
+            self._end_late_body()
             if not self.cycle.response_complete:
                 self._intake.begin(self._holding)
+            elif self.timeout_keep_alive_task is None:
+                self._arm_idle(self.timeout_keep_alive)
 
 
 def _announced_length(fields: list[tuple[bytes, bytes]]) -> int:
--- a/src/amaranthferry/gateway/edge.py
+++ b/src/amaranthferry/gateway/edge.py
@@ -33,9 +33,9 @@
 from ..problems import Problem
 from ..replica.statements import Statement
 from ..types import ModelId, PoolId, Seconds
-from .connection import FLOW_STATE, FlowState
 from .dispatching import RoutedCall
 from .exchange import BufferedAnswer, RoutedExchange, TruncatedAnswer
+from .flow import FLOW_STATE, FlowState
 from .log_events import LogEvent
 from .patience import unread_patience
 
--- a/src/amaranthferry/gateway/listener.py
+++ b/src/amaranthferry/gateway/listener.py
@@ -16,7 +16,8 @@
 from ..intake.accounting import Intake
 from ..intake.state import Port
 from ..types import Seconds
-from .connection import CallerConnection, HeadLimits
+from .connection import CallerConnection
+from .flow import ConnectionLimits
 
 BACKLOG = 512
 #: Connections that asyncio accepts at once, before those beyond the limit are closed.
@@ -35,7 +36,13 @@
     """Serve one ASGI application on one address."""
 
     def __init__(
-        self, application: Application, address: str, *, port: Port, intake: Intake
+        self,
+        application: Application,
+        address: str,
+        *,
+        port: Port,
+        intake: Intake,
+        limits: ConnectionLimits | None = None,
     ) -> None:
         self._address = address
         self._port, self._intake = port, intake
@@ -53,7 +60,7 @@
             date_header=False,
         )
         self._state = ServerState()
-        self._limits = HeadLimits()
+        self._limits = limits or ConnectionLimits()
         self._read_buffer = memoryview(bytearray(READ_BYTES))
         self._server: asyncio.Server | None = None
 
@@ -63,7 +70,7 @@
 
     def set_head_limits(self, size: int, time: Seconds) -> None:
         """Set what a request's head may have and take."""
-        self._limits.size, self._limits.time = size, time
+        self._limits.head_size, self._limits.head_time = size, time
 
     async def start(self) -> None:
         """Bind the address and accept connections."""
