--- a/src/amaranthferry/gateway/application.py
+++ b/src/amaranthferry/gateway/application.py
@@ -47,6 +47,7 @@
 from .exchange import RoutedExchange
 from .flow import ConnectionLimits
 from .footprint import Footprint, process_descriptors
+from .intake_reports import IntakeReports
 from .joining import JoiningHosts
 from .lateness import Lateness
 from .listener import Application, Listener
@@ -148,7 +149,10 @@
             descriptors=settings.max_descriptors or process_descriptors(),
             descriptor_share=intake.descriptor_share,
         )
-        self.intake = Intake(limits)
+        reports = IntakeReports(self.telemetry, self.clock)
+        self.intake = Intake(
+            limits, reports.record_ended, on_refused=reports.record_refused
+        )
         self.answers = AnswerMemory(self._memory_budget.answers)
         self.answer_times = AnswerTimes()
         self.bodies = BodyMemory(self._memory_budget.bodies)
--- a/src/amaranthferry/gateway/connection.py
+++ b/src/amaranthferry/gateway/connection.py
@@ -4,7 +4,6 @@
 from typing import Any
 
 import httptools
-import structlog
 import uvicorn
 from uvicorn.protocols.http.httptools_impl import (
     STATUS_LINE,
@@ -19,7 +18,6 @@
 from ..intake.state import Cause, Port
 from ..types import Seconds
 from .flow import FLOW_STATE, ConnectionLimits, Flow, HeadTooLarge, UnreadWatch
-from .log_events import LogEvent
 
 #: Bytes that are parsed at once. The requests in them are held in parsed form, which
 #: takes some 3 KB for each, so that 113 of the shortest ones take 340 KB.
@@ -34,7 +32,6 @@
 MALFORMED = 400
 HEAD_TOO_LATE = 408
 HEAD_TOO_LARGE = 431
-_log = structlog.get_logger(__name__)
 
 
 class CallerConnection(HttpToolsProtocol, asyncio.BufferedProtocol):
@@ -289,7 +286,7 @@
         A request whose message is broken is given up before it runs: it runs only once
         its body has arrived as a whole.
         """
-        _log.info(LogEvent.REQUEST_MALFORMED, status=status, problem=problem)
+        self._intake.on_refused(self._port, status, problem)
         self._refused = True
         self._pending.clear()
         self._end_head()
--- a/src/amaranthferry/gateway/log_events.py
+++ b/src/amaranthferry/gateway/log_events.py
@@ -22,6 +22,8 @@
     # process, limit, open_requests, connection_bytes, answer_bytes, body_bytes,
     # kept_changes, kept_change_bytes; once until the memory has fallen
     MEMORY_HIGH = "memory.high"
+    # port, cause, size, stage, skipped; at most one a second for each port and cause
+    CONNECTION_ENDED = "connection.ended"
     TASK_RESTARTED = "task.restarted"  # task, exception
     TASK_FAILED = "task.failed"  # exception; written by the shell of all hosts
     LOGS_DROPPED = "logs.dropped"  # lines
@@ -86,7 +88,8 @@
 
     # Decisions about requests.
     REQUEST_HELD = "request.held"  # request_id, kind, part, held_for, ends, trials
-    REQUEST_MALFORMED = "request.malformed"  # status, problem
+    # port, status, problem, skipped; at most one a second for each port and status
+    REQUEST_MALFORMED = "request.malformed"
     # attempt, code, status, version, belief_age, revision, source, store_lost: the
     # configuration it was judged by, and the host that confirmed it ("" for the store)
     REQUEST_REFUSED = "request.refused"
--- a/src/amaranthferry/gateway/logs.py
+++ b/src/amaranthferry/gateway/logs.py
@@ -10,8 +10,10 @@
 from ..types import HostId
 from .log_events import LogEvent
 
-#: Lines buffered for a slow reader; further ones are dropped and counted.
+#: Lines and bytes buffered for a slow reader; further lines are dropped and counted. A
+#: line may quote what a caller sent, up to the size of a head.
 MAX_BUFFERED_LINES = 1_000
+MAX_BUFFERED_BYTES = 1024 * 1024
 
 
 class LineWriter:
@@ -20,23 +22,30 @@
     def __init__(self, descriptor: int) -> None:
         self._descriptor = descriptor
         self._buffer: deque[bytes] = deque()
+        self._buffered_bytes = 0
         self.dropped = 0
         os.set_blocking(descriptor, False)
 
     def msg(self, message: str) -> None:
         """Write one line, or buffer it while the reader is slow."""
-        if len(self._buffer) >= MAX_BUFFERED_LINES:
+        line = message.encode() + b"\n"
+        is_full = len(self._buffer) >= MAX_BUFFERED_LINES
+        if is_full or self._buffered_bytes + len(line) > MAX_BUFFERED_BYTES:
             self.dropped += 1
         else:
             if self.dropped:
                 notice = (
                     f'{{"event": "{LogEvent.LOGS_DROPPED}", "lines": {self.dropped}}}\n'
                 )
-                self._buffer.append(notice.encode())
+                self._append(notice.encode())
                 self.dropped = 0
-            self._buffer.append(message.encode() + b"\n")
+            self._append(line)
         self._flush()
 
+    def _append(self, line: bytes) -> None:
+        self._buffer.append(line)
+        self._buffered_bytes += len(line)
+
     log = debug = info = warning = warn = error = critical = exception = fatal = msg
 
     def _flush(self) -> None:
@@ -47,6 +56,7 @@
             except OSError:
                 # The pipe is full or closed; a logging failure must not stop the host.
                 return
+            self._buffered_bytes -= written
             if written < len(line):
                 self._buffer[0] = line[written:]
                 return
--- a/src/amaranthferry/gateway/telemetry.py
+++ b/src/amaranthferry/gateway/telemetry.py
@@ -11,6 +11,7 @@
 
 from ..availability import count_servers, idle_slots, role_of
 from ..harm.subjects import SubjectState
+from ..intake.state import Port
 from ..replica.watching import SyncState
 from ..state import HostState
 from ..types import Seconds, SubjectKind
@@ -107,6 +108,16 @@
             "Answers that named a limit of their server, by whether it could be read.",
             ("server", "value"),
         )
+        self.ended_connections = Counter(
+            "ended_connections",
+            "Connections that had to end, by the limit.",
+            ("port", "cause"),
+        )
+        self.malformed_requests = Counter(
+            "malformed_requests",
+            "Messages that were no request within the limits.",
+            ("port", "status"),
+        )
         self.decisions = Counter("decisions", "Counts of the reducer.", ("name",))
         self.first_byte = Histogram(
             "first_byte_seconds", "From arrival to the first byte.", ("route",)
@@ -149,6 +160,8 @@
             telemetry.broken,
             telemetry.rejections,
             telemetry.named_limits,
+            telemetry.ended_connections,
+            telemetry.malformed_requests,
             telemetry.decisions,
         ):
             family = CounterMetricFamily(
@@ -219,6 +232,18 @@
             (),
             {(): float(-1 if (used := read_process_memory()) is None else used)},
         ),
+        (
+            "connection_bytes",
+            "Bytes that are held for all connections, as estimated.",
+            (),
+            {(): float(app.intake.held)},
+        ),
+        (
+            "connections",
+            "Open connections of a port.",
+            ("port",),
+            {(port.value,): float(app.intake.count(port)) for port in Port},
+        ),
         (
             "answer_bytes",
             "Bytes of the answers that are read or kept as a whole.",
--- a/src/amaranthferry/intake/accounting.py
+++ b/src/amaranthferry/intake/accounting.py
@@ -17,10 +17,14 @@
         self,
         limits: IntakeLimits,
         on_ended: Callable[[Holding, Cause], None] = lambda holding, cause: None,
+        *,
+        on_refused: Callable[[Port, int, str], None] = lambda *args: None,
     ) -> None:
         self.limits = limits
         self.held = 0
         self._on_ended = on_ended
+        #: Called with the port, status and problem of a message that is refused.
+        self.on_refused = on_refused
         self._holdings: dict[Port, set[Holding]] = {port: set() for port in Port}
         self._uses = 0
 
--- a/tests/gateway/test_logs.py
+++ b/tests/gateway/test_logs.py
@@ -4,7 +4,11 @@
 from pathlib import Path
 
 from amaranthferry import gateway, replica
-from amaranthferry.gateway.logs import MAX_BUFFERED_LINES, LineWriter
+from amaranthferry.gateway.logs import (
+    MAX_BUFFERED_BYTES,
+    MAX_BUFFERED_LINES,
+    LineWriter,
+)
 from amaranthferry.request_trace import STATE_EVENTS, build_trace, read_lines
 
 SOURCES = sorted(
@@ -35,6 +39,19 @@
     os.close(writing)
 
 
+def test_long_lines_for_a_stalled_reader_take_bounded_memory():
+    """Guards against callers' heads, quoted in lines, that fill the memory."""
+    reading, writing = os.pipe()
+    writer = LineWriter(writing)
+    lines = [json.dumps({"event": "x", "attempt": "y" * 16_384})] * 300
+    for line in lines:
+        writer.msg(line)
+    held = len(lines) - writer.dropped
+    assert 1 < held * len(lines[0]) <= MAX_BUFFERED_BYTES + 2 * 65_536
+    os.close(reading)
+    os.close(writing)
+
+
 def test_every_logged_event_is_a_log_event():
     for source in SOURCES:
         for node in ast.walk(ast.parse(source.read_text())):
