--- a/src/amaranthferry/gateway/application.py
+++ b/src/amaranthferry/gateway/application.py
@@ -24,6 +24,8 @@
     Ticked,
 )
 from ..http_connection import HttpConnection
+from ..intake.accounting import Intake
+from ..intake.state import IntakeLimits, Port
 from ..membership import Member, MembershipAgent
 from ..memory import AnswerMemory, BodyMemory, MemoryBudget
 from ..messages import Message, StoreUpdate, StoreUpdateRequest
@@ -50,10 +52,12 @@
 from .dispatching import RoutedCall
 from .edge import Edge, Receive, Scope, Send
 from .exchange import RoutedExchange
-from .footprint import Footprint
+from .flow import ConnectionLimits
+from .footprint import Footprint, process_descriptors
+from .intake_reports import IntakeReports
 from .joining import JoiningHosts
 from .lateness import Lateness
-from .listener import Listener
+from .listener import Application, Listener
 from .log_events import LogEvent
 from .operator_api import OperatorApi, answer
 from .options import HostOptions
@@ -154,7 +158,19 @@
         self.peers: PeerNetwork | None = None
         self.telemetry = Telemetry()
         self.lateness = Lateness(self.clock())
-        self._memory_budget = MemoryBudget.from_limit(settings.memory)
+        intake = self.options.intake
+        self._memory_budget = MemoryBudget.from_limit(
+            settings.memory, intake.memory_share
+        )
+        limits = IntakeLimits.from_budget(
+            self._memory_budget,
+            descriptors=settings.max_descriptors or process_descriptors(),
+            descriptor_share=intake.descriptor_share,
+        )
+        reports = IntakeReports(self.telemetry, self.clock)
+        self.intake = Intake(
+            limits, reports.record_ended, on_refused=reports.record_refused
+        )
         self.answers = AnswerMemory(self._memory_budget.answers)
         self.answer_times = AnswerTimes()
         #: Connections to servers that wait for another request.
@@ -192,11 +208,13 @@
         self.rollouts = self._create_rollouts()
         self.syncs = self._create_syncs()
         self._edge = Edge(self)
-        self._frontend = Listener(self._edge, settings.frontend)
-        self._readiness = Listener(self._answer_readiness, settings.readiness)
+        self._frontend = self._listener(self._edge, settings.frontend, Port.CALLERS)
+        self._readiness = self._listener(
+            self._answer_readiness, settings.readiness, Port.READINESS
+        )
         # The deployment file refers to the last port of the range for metrics.
         metrics_address = f"{settings.address}:{settings.ports[1]}"
-        self._metrics = Listener(OperatorApi(self), metrics_address)
+        self._metrics = self._listener(OperatorApi(self), metrics_address, Port.METRICS)
         self._idle = asyncio.Event()
         self._sequence = 0
 
@@ -207,6 +225,12 @@
         """Build an entry host from its settings and the operator's options."""
         return cls(settings, options)
 
+    def _listener(self, application: Application, address: str, port: Port) -> Listener:
+        limits = ConnectionLimits(unread=self.options.intake.unread_s)
+        return Listener(
+            application, address, port=port, intake=self.intake, limits=limits
+        )
+
     def _create_syncs(self) -> dict[str, StoreSync]:
         max_kept_bytes = self._memory_budget.kept_changes
         config = SyncState(
@@ -400,6 +424,7 @@
         states = [sync.state for sync in self.syncs.values()]
         return {
             "open_requests": len(self.exchanges),
+            "connection_bytes": self.intake.held,
             "answer_bytes": self.answers.held,
             "body_bytes": self.bodies.held,
             "kept_changes": sum(state.kept_changes for state in states),
@@ -620,6 +645,8 @@
         if now - self._waiting_logged_at >= WAITING_LOG_PERIOD:
             self._waiting_logged_at = now
             log_waiting(self.state, now)
+            for listener in (self._frontend, self._readiness, self._metrics):
+                listener.account()
             self._footprint.check(self.held_items)
         current = self.freshness.is_current(now)
         if current is not self._keys_current:
--- a/src/amaranthferry/gateway/edge.py
+++ b/src/amaranthferry/gateway/edge.py
@@ -36,7 +36,7 @@
 from ..types import ModelId, PoolId, Seconds
 from .dispatching import RoutedCall
 from .exchange import BufferedAnswer, RoutedExchange, TruncatedAnswer
-from .listener import FLOW_STATE, FlowState
+from .flow import FLOW_STATE, FlowState
 from .log_events import LogEvent
 from .patience import unread_patience
 
