--- a/src/amaranthferry/core.py
+++ b/src/amaranthferry/core.py
@@ -15,10 +15,12 @@
 from .effects import Effect
 from .events import Event
 from .harm import updates
+from .hedging import accounting
 from .state import HostState
 
 __all__ = [
     "HostState",
+    "accounting",
     "coordination",
     "entry",
     "fallback",
--- a/src/amaranthferry/effects.py
+++ b/src/amaranthferry/effects.py
@@ -38,6 +38,13 @@
     server: ServerId
 
 
+class HedgeDispatch(Effect, frozen=True):
+    """Dispatch a second run of a running request to another server."""
+
+    request_id: RequestId
+    server: ServerId
+
+
 class CancelDispatch(Effect, frozen=True):
     """Cancel a running request at its engine."""
 
--- a/src/amaranthferry/entry.py
+++ b/src/amaranthferry/entry.py
@@ -149,7 +149,7 @@
     req.shard = _choose_shard(state, req)
     req.requested_at = state.now
     state.registrations_left[req.shard] = LAST_REGISTRATIONS
-    req.server = None
+    req.server, req.second_permit = None, RequestId("")
     req.permit_host = state.permit_host(req.shard)
     message = msgspec.structs.replace(req.permit_request(state.now), zone=state.zone)
     return [SendToHost(host=req.permit_host, message=message)]
--- a/src/amaranthferry/events.py
+++ b/src/amaranthferry/events.py
@@ -214,6 +214,35 @@
     host_stops: bool = False
 
 
+class HedgeWanted(Event, frozen=True):
+    """Ask for a second run of a running request, at none of the servers to avoid."""
+
+    request_id: RequestId
+    avoid: tuple[ServerId, ...] = ()
+
+
+class RunsSwapped(Event, frozen=True):
+    """Have the second run of a request count as its run, and that one as the second."""
+
+    request_id: RequestId
+
+
+class HedgeEnded(Event, frozen=True):
+    """Report the end of a request's second run, while the other one counts.
+
+    `reached` tells whether its server may have received it, and `refused` that it said
+    so without running it. A run that was cancelled would have taken `least` or longer.
+    """
+
+    request_id: RequestId
+    reached: bool = True
+    refused: bool = False
+    failed: bool = False
+    server_ended: bool = False
+    from_server: bool = False
+    least: Seconds = 0.0
+
+
 class PartLifted(Event, frozen=True):
     """Report that an operator has lifted the hold on a prompt part or a request."""
 
--- a/src/amaranthferry/registration.py
+++ b/src/amaranthferry/registration.py
@@ -72,6 +72,8 @@
         if req.is_running and (is_deciding or req.permit_host == target):
             req.registered_with.add(target)
             running.append(req.running_work(state.now))
+            if req.second_run is not None:
+                running.append(req.second_work(req.second_run, state.now))
         elif req.state is RequestState.WAITING and is_deciding:
             if req.permit_host != target:
                 req.permit_host, req.moved_at = target, state.now
--- a/src/amaranthferry/requests.py
+++ b/src/amaranthferry/requests.py
@@ -5,7 +5,15 @@
 from .config import Deployment, WorkClass
 from .events import RequestArrived
 from .messages import PermitRequest, RunningWork
-from .types import HostId, RequestState, Seconds, ServerId, ShardId, Tokens
+from .types import (
+    HostId,
+    RequestId,
+    RequestState,
+    Seconds,
+    ServerId,
+    ShardId,
+    Tokens,
+)
 
 FINAL_STATES = frozenset(
     {RequestState.DONE, RequestState.NOT_RUN, RequestState.UNKNOWN}
@@ -44,6 +52,15 @@
 )
 
 
+class SecondRun(msgspec.Struct, frozen=True, kw_only=True):
+    """Represent a run of a request beside the one that its state describes."""
+
+    server: ServerId
+    #: The id of its permit, which differs from that of the request's own.
+    permit_id: RequestId
+    dispatched_at: Seconds
+
+
 class Request(msgspec.Struct, kw_only=True):
     """Track one request from arrival to its final outcome."""
 
@@ -74,6 +91,9 @@
     alone_subjects: tuple[int, ...] = ()
     familiar_parts: tuple[int, ...] = ()
     caller_gone: bool = False
+    second_run: SecondRun | None = None
+    #: The id of the current permit, where it is that of a second run; or nothing.
+    second_permit: RequestId = RequestId("")
 
     @classmethod
     def from_arrival(cls, arrival: RequestArrived, deployment: Deployment) -> "Request":
@@ -109,6 +129,24 @@
             not self.caller_gone and len(self.tried_servers) < self.arrival.max_attempts
         )
 
+    @property
+    def permit_id(self) -> RequestId:
+        """Return the id of the current dispatch's permit."""
+        return self.second_permit or self.arrival.request_id
+
+    def swap_runs(self) -> None:
+        """Have the state describe the second run, and the other one be the second."""
+        run, server = self.second_run, self.server
+        assert run is not None and server is not None
+        self.second_run = SecondRun(
+            server=server,
+            permit_id=self.permit_id,
+            dispatched_at=self.dispatched_at,
+        )
+        self.server, self.dispatched_at = run.server, run.dispatched_at
+        own = run.permit_id == self.arrival.request_id
+        self.second_permit = RequestId("") if own else run.permit_id
+
     def transition_to(self, state: RequestState) -> None:
         """Change the state; a transition outside the state table is a bug."""
         allowed = _NEXT_STATES.get(self.state, set())
@@ -161,8 +199,23 @@
         """Return the description of the dispatch for a new coordinator."""
         assert self.server is not None
         return RunningWork(
-            request=self.permit_request(now),
+            request=self._permit_request_of(self.permit_id, now),
             server=self.server,
             output_tokens=self.output_tokens,
             elapsed=now - self.dispatched_at,
         )
+
+    def second_work(self, run: SecondRun, now: Seconds) -> RunningWork:
+        """Return the description of a second run for a new coordinator."""
+        return RunningWork(
+            request=self._permit_request_of(run.permit_id, now),
+            server=run.server,
+            output_tokens=0,
+            elapsed=now - run.dispatched_at,
+        )
+
+    def _permit_request_of(self, permit_id: RequestId, now: Seconds) -> PermitRequest:
+        request = self.permit_request(now)
+        if permit_id == request.request_id:
+            return request
+        return msgspec.structs.replace(request, request_id=permit_id, quota_cost=0.0)
--- a/src/amaranthferry/running.py
+++ b/src/amaranthferry/running.py
@@ -96,7 +96,7 @@
 def _progress(state: HostState, req: Request) -> Effect:
     assert req.server is not None
     message = PermitProgress(
-        request_id=req.arrival.request_id,
+        request_id=req.permit_id,
         shard=req.shard,
         server=req.server,
         first_token=req.first_token,
@@ -183,6 +183,8 @@
     """Return whether a running request could go to another server if it failed now."""
     arrival = req.arrival
     attempts = len(req.tried_servers) + 1
+    if req.second_run is not None:
+        return False
     if req.caller_gone or not arrival.repeatable or attempts >= arrival.max_attempts:
         return False
     tried = {*req.tried_servers, req.server}
@@ -219,7 +221,7 @@
     """Release the permit at all hosts that may count it."""
     assert req.server is not None
     message = PermitRelease(
-        request_id=req.arrival.request_id,
+        request_id=req.permit_id,
         shard=req.shard,
         server=req.server,
         dispatched=dispatched,
