--- a/src/amaranthferry/gateway/application.py
+++ b/src/amaranthferry/gateway/application.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from typing import Self
+from typing import TYPE_CHECKING, Self
 
 import msgspec
 import structlog
@@ -55,6 +55,9 @@
 from .stopping import StopPlan
 from .telemetry import Telemetry
 
+if TYPE_CHECKING:
+    from ..hedging.runs import Hedger
+
 TICK_PERIOD: Seconds = 0.05
 #: Time without a message after which a coordinator is no longer waited for.
 COORDINATOR_TIMEOUT: Seconds = 0.35
@@ -169,6 +172,7 @@
         self._waiting_logged_at: Seconds = 0.0
         self._roles: tuple[dict[ShardId, HostId], tuple[ShardId, ...]] = ({}, ())
         self._performer = Performer(self)
+        self.hedger = self._create_hedger()
         self.syncs = self._create_syncs()
         self._edge = Edge(self)
         self._frontend = Listener(self._edge, settings.frontend)
@@ -186,6 +190,15 @@
         """Build an entry host from its settings and the operator's options."""
         return cls(settings, options)
 
+    def _create_hedger(self) -> "Hedger | None":
+        cfg = self.options.hedging
+        if not cfg.enabled:
+            return None
+        # Hosts without hedging don't load it.
+        from ..hedging.runs import Hedger
+
+        return Hedger(self, cfg.limit)
+
     def _create_syncs(self) -> dict[str, StoreSync]:
         max_kept_bytes = self._memory_budget.kept_changes
         config = SyncState(
@@ -394,6 +407,10 @@
         timer = asyncio.get_running_loop().call_later(delay, self._expire, exchange)
         exchange.timer = timer
         self.handle(arrival)
+        if self.hedger is not None and self.hedger.open:
+            # Its permit is decided on in the next turn of the loop.
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self.hedger.make_room, arrival.pool)
         return exchange
 
     def _expire(self, exchange: RoutedExchange) -> None:
--- a/src/amaranthferry/gateway/dispatching.py
+++ b/src/amaranthferry/gateway/dispatching.py
@@ -116,6 +116,9 @@
         times: AnswerTimes,
     ) -> None:
         self._exchange = exchange
+        self._number = exchange.dispatches
+        #: Whether another run's answer counts, so that this one ends nothing.
+        self.superseded = False
         self.decided_by = decided_by
         self._incarnation = incarnation
         self._call = exchange.call
@@ -524,7 +527,7 @@
             event,
             request_id=self._call.request_id,
             server=self._server.name,
-            run=self._exchange.dispatches,
+            run=self._number,
             **fields,
         )
 
--- a/src/amaranthferry/gateway/exchange.py
+++ b/src/amaranthferry/gateway/exchange.py
@@ -13,6 +13,7 @@
 from ..types import Seconds, Tokens
 
 if TYPE_CHECKING:
+    from ..hedging.runs import Run
     from .dispatching import RoutedCall
 
 #: Bytes of a stream that wait for a slow caller before its server has to wait too.
@@ -69,6 +70,9 @@
         self.retry_after: Seconds | None = None
         self.task: asyncio.Task[None] | None = None
         self.timer: asyncio.TimerHandle | None = None
+        #: The run that counts, and the next decision on a second one, with hedging on.
+        self.run: Run | None = None
+        self.check: asyncio.TimerHandle | None = None
         self._held_answers: list[HeldAnswer] = []
         #: Whether the caller has its answer, or none is owed any more.
         self._is_over = False
--- a/src/amaranthferry/gateway/log_events.py
+++ b/src/amaranthferry/gateway/log_events.py
@@ -94,6 +94,9 @@
     # request_id, route, server, runs, ages, framing, closed_by_peer, partial_event,
     # server_limit
     REQUEST_ANSWERED = "request.answered"
+    # request_id, route, service, first, second, reason, age, remaining, fresh, lasted,
+    # winner, end: a second run, at its end; the forecasts are those that it was sent by
+    REQUEST_HEDGED = "request.hedged"
     REQUEST_SETTLED = "request.settled"  # request_id, outcome, reason, retry_after
     DISPATCH_UNREACHED = "dispatch.unreached"  # request_id, server, problem
     # request_id, server, service, status, retry_after, hold_off, decided_by
--- a/src/amaranthferry/gateway/performer.py
+++ b/src/amaranthferry/gateway/performer.py
@@ -6,12 +6,14 @@
 
 import structlog
 
+from ..config import BackendServer
 from ..effects import (
     CancelDispatch,
     CloseClaim,
     CountMetric,
     Dispatch,
     Effect,
+    HedgeDispatch,
     MakeClaim,
     ObserveMetric,
     ReplayAnswer,
@@ -36,6 +38,7 @@
     PeerReceived,
 )
 from ..leaving import incarnation_of
+from ..messages import ServerIncarnation
 from ..problems import Problem
 from ..requests import Request
 from ..shards import pool_of
@@ -103,8 +106,7 @@
         timed_out: bool = False,
         host_stops: bool = False,
     ) -> None:
-        if exchange.task is not None:
-            exchange.task.cancel()
+        _cancel_runs(self.app, exchange)
         self.app.handle(
             DispatchFailed(
                 now=self.app.clock(),
@@ -223,22 +225,70 @@
         waited=round(waited, 4),
         decided_by=decided_by,
     )
+    hedger = app.hedger
+    if hedger is None or not hedger.watches(req):
+        _, exchange.task = _send(
+            performer, exchange, server, incarnation, decided_by, app.handle
+        )
+        return
+    run = hedger.new_run(exchange)
+    dispatch, exchange.task = _send(
+        performer, exchange, server, incarnation, decided_by, run.report
+    )
+    hedger.begin(run, dispatch, exchange.task)
+
+
+@_perform.register
+def _(effect: HedgeDispatch, performer: Performer) -> None:
+    app = performer.app
+    exchange = app.exchanges[effect.request_id]
+    server = app.state.deployment.servers[effect.server]
+    incarnation = incarnation_of(app.state.deployment, effect.server)
+    assert app.hedger is not None and incarnation is not None
+    exchange.dispatches += 1
+    run = app.hedger.new_run(exchange, is_hedge=True)
+    dispatch, task = _send(
+        performer, exchange, server, incarnation, Decider.LOCAL, run.report
+    )
+    app.hedger.begin(run, dispatch, task)
+
+
+def _send(
+    performer: Performer,
+    exchange: RoutedExchange,
+    server: BackendServer,
+    incarnation: ServerIncarnation,
+    decided_by: Decider,
+    report: dispatching.Report,
+) -> tuple[dispatching.Dispatch, "asyncio.Task[None]"]:
+    """Start a dispatch of an exchange, which reports how it ends."""
+    app = performer.app
+    request_id = exchange.call.request_id
     dispatch = dispatching.Dispatch(
         exchange,
         server,
-        app.handle,
+        report,
         incarnation=incarnation,
         decided_by=decided_by,
         clock=app.clock,
-        can_rerun=lambda: app.can_rerun(effect.request_id),
+        can_rerun=lambda: app.can_rerun(request_id),
         times=app.answer_times,
         is_limited=lambda: app.state.server_rates.is_limited(incarnation),
         answers=app.answers,
     )
-    exchange.task = app.spawn(dispatch.run())
-    exchange.task.add_done_callback(
-        lambda task: _finish_dispatch(performer, exchange, dispatch, task)
+    task = app.spawn(dispatch.run())
+    task.add_done_callback(
+        lambda task: _finish_dispatch(performer, exchange, dispatch, task, report)
     )
+    return dispatch, task
+
+
+def _cancel_runs(app: "Gateway", exchange: RoutedExchange) -> None:
+    """Cancel all runs of a request that ends without an answer."""
+    if app.hedger is not None:
+        app.hedger.abandon(exchange)
+    if exchange.task is not None:
+        exchange.task.cancel()
 
 
 def _decider(state: HostState, req: Request) -> Decider:
@@ -257,6 +307,7 @@
     exchange: RoutedExchange,
     dispatch: dispatching.Dispatch,
     task: "asyncio.Task[None]",
+    report: dispatching.Report,
 ) -> None:
     """Count the dispatch; close the exchange unless it has been dispatched again."""
     app = performer.app
@@ -264,7 +315,7 @@
     if not task.cancelled() and task.exception() is not None:
         # The request may have run, and nothing else would end it before its deadline.
         exchange.unknown_dispatches += 1
-        app.handle(DispatchFailed(now=app.clock(), request_id=request_id))
+        report(DispatchFailed(now=app.clock(), request_id=request_id))
     route = exchange.call.route.name
     app.telemetry.dispatches.add(route, dispatch.end, dispatch.framing or "")
     if dispatch.rejected:
@@ -272,6 +323,8 @@
     _record_limit(performer, dispatch)
     if dispatch.process is not None:
         app.telemetry.broken.add(route, dispatch.process)
+    if dispatch.superseded:
+        return
     if request_id in app.state.requests or (
         app.exchanges.get(request_id) is not exchange
     ):
@@ -307,8 +360,7 @@
     exchange = app.exchanges.get(effect.request_id)
     if exchange is None:
         return
-    if exchange.task is not None:
-        exchange.task.cancel()
+    _cancel_runs(app, exchange)
     app.handle_later(DispatchFailed(now=app.clock(), request_id=effect.request_id))
 
 
--- a/src/amaranthferry/gateway/telemetry.py
+++ b/src/amaranthferry/gateway/telemetry.py
@@ -107,6 +107,16 @@
             "Answers that named a limit of their server, by whether it could be read.",
             ("server", "value"),
         )
+        self.hedges = Counter(
+            "second_runs",
+            "Second runs of slow requests, by the run that counted and how they ended.",
+            ("route", "winner", "end"),
+        )
+        self.hedges_denied = Counter(
+            "second_runs_denied",
+            "Decisions against a second run of a request, by reason.",
+            ("service", "reason"),
+        )
         self.decisions = Counter("decisions", "Counts of the reducer.", ("name",))
         self.first_byte = Histogram(
             "first_byte_seconds", "From arrival to the first byte.", ("route",)
@@ -149,6 +159,8 @@
             telemetry.broken,
             telemetry.rejections,
             telemetry.named_limits,
+            telemetry.hedges,
+            telemetry.hedges_denied,
             telemetry.decisions,
         ):
             family = CounterMetricFamily(
@@ -288,10 +300,39 @@
             ("service",),
             {(pool,): budget.tokens for pool, budget in state.repeat_budgets.items()},
         ),
+        *_hedging_gauges(app),
         *_coordinator_gauges(app),
     ]
 
 
+def _hedging_gauges(app: "Gateway") -> list[Gauge]:
+    """Return the work of first and second runs, where hedging is on."""
+    if app.hedger is None:
+        return []
+    budgets = dict(islice(app.hedger.budgets.items(), MAX_LABEL_SETS))
+    service: Labels = ("service",)
+    return [
+        (
+            "first_run_work_seconds",
+            "Time that servers have spent on first runs of repeatable requests.",
+            service,
+            {(name,): budget.first_work for name, budget in budgets.items()},
+        ),
+        (
+            "second_run_work_seconds",
+            "Time that servers have spent on second runs.",
+            service,
+            {(name,): budget.extra_work for name, budget in budgets.items()},
+        ),
+        (
+            "second_run_work_left_seconds",
+            "Time that second runs may still spend; negative if it is owed.",
+            service,
+            {(name,): budget.left for name, budget in budgets.items()},
+        ),
+    ]
+
+
 def _age(state: SyncState, now: Seconds) -> float:
     age = state.freshness.age(now)
     return -1.0 if age is None else age
