--- a/src/amaranthferry/events.py
+++ b/src/amaranthferry/events.py
@@ -231,7 +231,7 @@
     """Report the end of a request's second run, while the other one counts.
 
     `reached` tells whether its server may have received it, and `refused` that it said
-    so without running it. A run that was cancelled would have taken `least` or longer.
+    so without running it. How long a run that was `cancelled` would have taken isn't known.
     """
 
     request_id: RequestId
@@ -240,7 +240,7 @@
     failed: bool = False
     server_ended: bool = False
     from_server: bool = False
-    least: Seconds = 0.0
+    cancelled: bool = False
 
 
 class PartLifted(Event, frozen=True):
--- a/src/amaranthferry/hedging/accounting.py
+++ b/src/amaranthferry/hedging/accounting.py
@@ -100,11 +100,15 @@
 ) -> ServerId | None:
     """Choose the server of a second run as for any request, if nothing waits.
 
-    One slot of it has to stay free, since a first run may need it. A request that may
-    end servers gets no second run.
+    One slot of it has to stay free, since a first run may need it. There is no second
+    run for a request that may end servers, nor while a server names a limit, whose
+    requests are all needed for first runs.
     """
     if coordinator.queue or coordinator.is_rebuilding(state.now):
         return None
+    coordinator.refresh_allowances(state.now)
+    if coordinator.limited_servers():
+        return None
     excluded = (*req.tried_servers, _server_of(req), *avoid)
     request = msgspec.structs.replace(
         req.permit_request(state.now), excluded=excluded, zone=state.zone
@@ -120,7 +124,6 @@
         arrived=state.now,
         deadline=req.deadline,
     )
-    coordinator.refresh_allowances(state.now)
     choice = coordinator.chooser(state.now).choose(waiter)
     if choice is None:
         return None
@@ -142,8 +145,6 @@
         dispatched_at=state.now,
     )
     record = coordinator.servers[server]
-    if record.allowance is not None:
-        record.allowance.take()
     coordinator.permits.add(
         Permit(
             request=req.second_work(run, state.now).request,
@@ -183,14 +184,14 @@
             acquit_request(state, req)
         req.swap_runs()
     req.second_run = None
-    elapsed = state.now - run.dispatched_at
+    # The server's times would be learned from how early the run was cancelled.
     release = PermitRelease(
         request_id=run.permit_id,
         shard=req.shard,
         server=run.server,
-        dispatched=event.reached,
+        dispatched=event.reached and not event.cancelled,
         failed=event.failed,
-        elapsed=max(elapsed, event.least),
+        elapsed=state.now - run.dispatched_at,
         hold_off=state.hold_off(run.server),
     )
     return [*effects, SendToHost(host=state.host, message=release)]
--- a/src/amaranthferry/hedging/decision.py
+++ b/src/amaranthferry/hedging/decision.py
@@ -10,6 +10,9 @@
 #: Least time between two decisions about one run.
 MIN_CHECK_INTERVAL: Seconds = 0.01
 
+#: With twice the calm time, runs wait on average as long as they work: no slot is idle.
+BUSY_STRETCH = 2.0
+
 
 class Reason(StrEnum):
     """Define why a run gets a second one, or none."""
@@ -80,7 +83,8 @@
     The remaining time counts at its low end and the fresh one at its high end, so that
     runs whose times are not known well get no second run.
     """
-    if model.is_busy(run.service):
+    stretch = model.stretch(run.service)
+    if stretch > BUSY_STRETCH:
         return Decision(Reason.BUSY)
     distribution = model.route(run.service, run.route, now).distribution(now)
     if distribution is None:
@@ -90,7 +94,9 @@
     usual = distribution.fresh()
     bound = min(remaining.low, run.left)
     fresh = {name: usual.scaled(max(1.0, model.factor(name, now))) for name in others}
-    sooner = {name: time for name, time in fresh.items() if time.high < bound}
+    # What a second run takes, others wait for: by queueing theory the part of its time
+    # by which runs are longer than in calm times.
+    sooner = {n: time for n, time in fresh.items() if time.high * stretch < bound}
     if not sooner:
         late = usual.high >= run.left
         reason = Reason.DEADLINE if late else Reason.NOT_SLOWER
--- a/src/amaranthferry/hedging/latency.py
+++ b/src/amaranthferry/hedging/latency.py
@@ -21,8 +21,6 @@
 LOAD_MEMORY: Seconds = 5.0
 #: Time constant with which the calm time of a route rises to that of now.
 CALM_MEMORY: Seconds = 300.0
-#: With twice the calm time, runs wait on average as long as they work.
-BUSY_RATIO = 2.0
 #: Recent runs below which the load counts as unknown.
 MIN_RECENT = 3.0
 #: Buckets are a fourth of an octave wide, from a millisecond to half a minute.
@@ -121,8 +119,7 @@
         self._distribution: Distribution | None = None
         #: The age from which a fresh run is sooner, at servers as fast as usual.
         self.worth_age: Seconds = math.inf
-        self._recent_log = 0.0
-        self._recent = 0.0
+        self._recent = self._recent_log = self._recent_square = 0.0
         self._recent_at = now
         self._calm: Seconds = math.inf
         self.mean: Seconds = 0.0
@@ -132,10 +129,13 @@
         self._weights[_bucket(seconds)] += self._weight(now)
         fade = math.exp((self._recent_at - now) / LOAD_MEMORY)
         self._recent = self._recent * fade + 1.0
-        self._recent_log = self._recent_log * fade + math.log(max(SHORTEST, seconds))
+        log = math.log(max(SHORTEST, seconds))
+        self._recent_log = self._recent_log * fade + log
+        self._recent_square = self._recent_square * fade + log * log
         calm = self._calm
         if self._recent >= MIN_RECENT:
-            level = self._level()
+            # The lowest of many levels is one that was low by chance.
+            level = self._level(1.0)
             rise = min(1.0, (now - self._recent_at) / CALM_MEMORY)
             self._calm = level if level < calm else calm + (level - calm) * rise
         self._recent_at = now
@@ -160,13 +160,24 @@
             self._origin, exponent = now, 0.0
         return math.exp(exponent)
 
-    def is_busy(self) -> bool:
-        """Return whether typical runs take far longer than they do in calm times."""
-        return self._recent >= MIN_RECENT and self._level() > BUSY_RATIO * self._calm
+    def stretch(self) -> float:
+        """Return by which factor typical runs are longer than in calm times.
 
-    def _level(self) -> Seconds:
-        # The geometric mean follows the typical run, not a few slow ones.
-        return math.exp(self._recent_log / self._recent)
+        It follows from waits behind other work, so it tells what a run more costs them.
+        """
+        if self._recent < MIN_RECENT:
+            return 1.0
+        return max(1.0, self._level(-1.0) / self._calm)
+
+    def _level(self, errors: float) -> Seconds:
+        """Return the recent time of a typical run, moved by some standard errors.
+
+        The geometric mean follows the typical run, not a few slow ones.
+        """
+        mean = self._recent_log / self._recent
+        square = self._recent_square / self._recent - mean * mean
+        error = math.sqrt(max(0.0, square) / self._recent)
+        return math.exp(mean + errors * error)
 
     def distribution(self, now: Seconds) -> Distribution | None:
         """Return the distribution of now, or None while there is none."""
@@ -289,10 +300,13 @@
         for server in [name for name in self._servers if name not in servers]:
             del self._servers[server]
 
-    def is_busy(self, service: PoolId) -> bool:
-        """Return whether the typical runs of a service show no spare capacity."""
-        return any(
-            times.is_busy()
-            for (name, _), times in self._routes.items()
-            if name == service
+    def stretch(self, service: PoolId) -> float:
+        """Return by which factor the typical runs of a service are longer now."""
+        return max(
+            (
+                times.stretch()
+                for (name, _), times in self._routes.items()
+                if name == service
+            ),
+            default=1.0,
         )
--- a/src/amaranthferry/hedging/runs.py
+++ b/src/amaranthferry/hedging/runs.py
@@ -274,9 +274,8 @@
         view = self._view(run, now)
         self.model.observe_longer(view.service, view.route, view.server, view.age, now)
         self._settle(run, now)
-        ended = HedgeEnded(
-            now=now, request_id=run.exchange.call.request_id, least=run.expected
-        )
+        request_id = run.exchange.call.request_id
+        ended = HedgeEnded(now=now, request_id=request_id, cancelled=True)
         self._app.handle(ended)
 
     def _settle(self, run: Run, now: Seconds) -> None:
