--- a/src/amaranthferry/gateway/options.py
+++ b/src/amaranthferry/gateway/options.py
@@ -1,7 +1,7 @@
 """Read the operator's own options of an entry host, an optional INI file."""
 
 from pathlib import Path
-from typing import Any, Self
+from typing import Annotated, Any, Self
 
 import msgspec
 
@@ -17,7 +17,7 @@
 
     enabled: bool = False
     #: The extra work, as a fraction of each service's work.
-    limit: float = 0.02
+    limit: Annotated[float, msgspec.Meta(ge=0.0, le=1.0)] = 0.02
 
 
 class HostOptions(msgspec.Struct, frozen=True):
--- a/src/amaranthferry/gateway/performer.py
+++ b/src/amaranthferry/gateway/performer.py
@@ -226,16 +226,13 @@
         decided_by=decided_by,
     )
     hedger = app.hedger
-    if hedger is None or not hedger.watches(req):
-        _, exchange.task = _send(
-            performer, exchange, server, incarnation, decided_by, app.handle
-        )
-        return
-    run = hedger.new_run(exchange)
+    run = hedger.new_run(exchange) if hedger and hedger.watches(req) else None
+    report = run.report if run else app.handle
     dispatch, exchange.task = _send(
-        performer, exchange, server, incarnation, decided_by, run.report
+        performer, exchange, server, incarnation, decided_by, report
     )
-    hedger.begin(run, dispatch, exchange.task)
+    if hedger and run:
+        hedger.begin(run, dispatch, exchange.task)
 
 
 @_perform.register
--- a/src/amaranthferry/gateway/telemetry.py
+++ b/src/amaranthferry/gateway/telemetry.py
@@ -11,6 +11,7 @@
 
 from ..availability import count_servers, idle_slots, role_of
 from ..harm.subjects import SubjectState
+from ..hedging.metrics import hedging_gauges
 from ..replica.watching import SyncState
 from ..state import HostState
 from ..types import Seconds, SubjectKind
@@ -300,39 +301,11 @@
             ("service",),
             {(pool,): budget.tokens for pool, budget in state.repeat_budgets.items()},
         ),
-        *_hedging_gauges(app),
+        *hedging_gauges(app.hedger),
         *_coordinator_gauges(app),
     ]
 
 
-def _hedging_gauges(app: "Gateway") -> list[Gauge]:
-    """Return the work of first and second runs, where hedging is on."""
-    if app.hedger is None:
-        return []
-    budgets = dict(islice(app.hedger.budgets.items(), MAX_LABEL_SETS))
-    service: Labels = ("service",)
-    return [
-        (
-            "first_run_work_seconds",
-            "Time that servers have spent on first runs of repeatable requests.",
-            service,
-            {(name,): budget.first_work for name, budget in budgets.items()},
-        ),
-        (
-            "second_run_work_seconds",
-            "Time that servers have spent on second runs.",
-            service,
-            {(name,): budget.extra_work for name, budget in budgets.items()},
-        ),
-        (
-            "second_run_work_left_seconds",
-            "Time that second runs may still spend; negative if it is owed.",
-            service,
-            {(name,): budget.left for name, budget in budgets.items()},
-        ),
-    ]
-
-
 def _age(state: SyncState, now: Seconds) -> float:
     age = state.freshness.age(now)
     return -1.0 if age is None else age
--- a/src/amaranthferry/request_trace.py
+++ b/src/amaranthferry/request_trace.py
@@ -30,6 +30,8 @@
 #: Events that tell which limits a host knew of when it refused a request for them.
 LIMIT_EVENTS = ("server.limited", "server.limit_ended")
 LIMIT_REASON = "server_limit"
+#: Fields that name a line's server; a second run has two, of either run.
+SERVER_FIELDS = ("server", "first", "second")
 _COMMON_FIELDS = frozenset(
     {"event", "level", "timestamp", "host", "request_id", "attempt"}
 )
@@ -107,6 +109,7 @@
         """Return what was known of the server, limits or subject that a line names."""
         host = str(line.get("host", ""))
         refused = line.get("reason") == LIMIT_REASON
+        servers = {line.get(key) for key in SERVER_FIELDS}
         ends = list(self._ends.get(str(line.get("part")), ()))
         return ends + [
             known
@@ -115,7 +118,7 @@
             or (
                 item_host == host
                 and kind in ("server", "limit")
-                and (name == line.get("server") or (refused and kind == "limit"))
+                and (name in servers or (refused and kind == "limit"))
             )
         ]
 
--- a/tests/gateway/test_options.py
+++ b/tests/gateway/test_options.py
@@ -28,7 +28,14 @@
 
 @pytest.mark.parametrize(
     "text",
-    ["[heding]\n", "[hedging]\nlimits = 0.1\n", "[hedging]\nlimit = much\n"],
+    [
+        "[heding]\n",
+        "[hedging]\nlimits = 0.1\n",
+        "[hedging]\nlimit = much\n",
+        "[hedging]\nlimit = -0.1\n",
+        "[hedging]\nlimit = 2\n",
+        "[hedging]\nlimit = nan\n",
+    ],
 )
 def test_errors_name_the_file_and_the_line(tmp_path, text):
     path = write(tmp_path, text)
