--- a/src/amaranthferry/hedging/decision.py
+++ b/src/amaranthferry/hedging/decision.py
@@ -57,17 +57,18 @@
     left: Seconds
 
 
-def first_check(model: LatencyModel, run: RunningRun, now: Seconds) -> Seconds | None:
+def first_check(
+    model: LatencyModel, service: PoolId, route: str, server: ServerId, now: Seconds
+) -> Seconds | None:
     """Return the age at which a run is worth a decision, or None while nothing is known.
 
     At a server that has been slow lately, that may be at once.
     """
-    times = model.route(run.service, run.route, now)
-    distribution = times.distribution(now)
-    if distribution is None:
+    times = model.route(service, route, now)
+    if times.distribution(now) is None:
         return None
-    usual = distribution.fresh()
-    slow = usual.low * model.factor(run.server, now) > usual.high
+    usual = times.usual
+    slow = usual.low * model.factor(server, now) > usual.high
     return 0.0 if slow else times.worth_age
 
 
@@ -86,12 +87,13 @@
     stretch = model.stretch(run.service)
     if stretch > BUSY_STRETCH:
         return Decision(Reason.BUSY)
-    distribution = model.route(run.service, run.route, now).distribution(now)
+    times = model.route(run.service, run.route, now)
+    distribution = times.distribution(now)
     if distribution is None:
         return Decision(Reason.UNKNOWN_TIMES)
     factor = max(1.0, model.factor(run.server, now))
     remaining = distribution.remaining(run.age / factor).scaled(factor)
-    usual = distribution.fresh()
+    usual = times.usual
     bound = min(remaining.low, run.left)
     fresh = {name: usual.scaled(max(1.0, model.factor(name, now))) for name in others}
     # What a second run takes, others wait for: by queueing theory the part of its time
--- a/src/amaranthferry/hedging/latency.py
+++ b/src/amaranthferry/hedging/latency.py
@@ -37,13 +37,14 @@
 
 #: Half a bucket's width: by so much of a run's age may the times in its bucket differ.
 RESOLUTION = 2 ** (0.5 / PER_OCTAVE) - 1
+_LOG_SHORTEST = math.log(SHORTEST)
+_PER_LOG = PER_OCTAVE / math.log(2)
 _MIDDLES = tuple(SHORTEST * 2 ** ((i + 0.5) / PER_OCTAVE) for i in range(BUCKETS))
 
 
 def _bucket(seconds: Seconds) -> int:
-    if seconds <= SHORTEST:
-        return 0
-    return min(BUCKETS - 1, int(PER_OCTAVE * math.log2(seconds / SHORTEST)))
+    log = math.log(max(SHORTEST, seconds)) - _LOG_SHORTEST
+    return min(BUCKETS - 1, int(log * _PER_LOG))
 
 
 class Estimate(msgspec.Struct, frozen=True):
@@ -117,6 +118,7 @@
         self._origin = now
         self._evaluated_at = -math.inf
         self._distribution: Distribution | None = None
+        self.usual = Estimate(0.0, 0.0)
         #: The age from which a fresh run is sooner, at servers as fast as usual.
         self.worth_age: Seconds = math.inf
         self._recent = self._recent_log = self._recent_square = 0.0
@@ -126,18 +128,13 @@
 
     def observe(self, seconds: Seconds, now: Seconds) -> None:
         """Record a run that was completed."""
-        self._weights[_bucket(seconds)] += self._weight(now)
+        log = math.log(max(SHORTEST, seconds))
+        bucket = int((log - _LOG_SHORTEST) * _PER_LOG)
+        self._weights[min(BUCKETS - 1, bucket)] += self._weight(now)
         fade = math.exp((self._recent_at - now) / LOAD_MEMORY)
         self._recent = self._recent * fade + 1.0
-        log = math.log(max(SHORTEST, seconds))
         self._recent_log = self._recent_log * fade + log
         self._recent_square = self._recent_square * fade + log * log
-        calm = self._calm
-        if self._recent >= MIN_RECENT:
-            # The lowest of many levels is one that was low by chance.
-            level = self._level(1.0)
-            rise = min(1.0, (now - self._recent_at) / CALM_MEMORY)
-            self._calm = level if level < calm else calm + (level - calm) * rise
         self._recent_at = now
 
     def observe_longer(self, seconds: Seconds, now: Seconds) -> None:
@@ -185,9 +182,20 @@
             self._evaluated_at = now
             self._distribution = self._evaluate(now)
             if self._distribution is not None:
+                self.usual = self._distribution.fresh()
                 self.worth_age = self._distribution.worth_age()
+            self._update_calm()
         return self._distribution
 
+    def _update_calm(self) -> None:
+        """Lower the calm time to that of now, or let it rise slowly."""
+        if self._recent < MIN_RECENT:
+            return
+        # The lowest of many levels is one that was low by chance.
+        level, calm = self._level(1.0), self._calm
+        rise = EVALUATION_PERIOD / CALM_MEMORY
+        self._calm = level if level < calm else calm + (level - calm) * rise
+
     def _evaluate(self, now: Seconds) -> Distribution | None:
         scale = 1.0 / self._weight(now)
         known = [
@@ -264,7 +272,7 @@
         now: Seconds,
     ) -> None:
         """Record a run that was completed."""
-        times = self.route(service, route, now)
+        times = self._routes.get((service, route)) or self.route(service, route, now)
         times.observe(seconds, now)
         if times.distribution(now) is not None:
             self._server(server, now).observe(seconds / times.mean, now)
--- a/src/amaranthferry/hedging/runs.py
+++ b/src/amaranthferry/hedging/runs.py
@@ -104,9 +104,10 @@
         route = exchange.call.route
         if route.kind is not RouteKind.SAFE or route.max_attempts < 2:
             return
-        view = self._view(run, now)
-        after = first_check(self.model, view, now)
-        if after is not None and after < view.left:
+        after = first_check(
+            self.model, dispatch.service, route.name, dispatch.server, now
+        )
+        if after is not None and after < exchange.call.deadline - now:
             self._check_after(run, after)
 
     def _check_after(self, run: Run, delay: Seconds) -> None:
@@ -212,9 +213,13 @@
     def _finish(self, run: Run, event: DispatchFinished) -> None:
         """Have the first complete answer count, and cancel the other run."""
         now, request_id = self._app.clock(), run.exchange.call.request_id
+        dispatch = run.dispatch
+        assert dispatch is not None
         if event.from_server:
-            view = self._view(run, now)
-            self.model.observe(view.service, view.route, view.server, view.age, now)
+            route = run.exchange.call.route.name
+            self.model.observe(
+                dispatch.service, route, dispatch.server, run.age(now), now
+            )
         self._settle(run, now)
         hedge = self.open.pop(request_id, None)
         if hedge is not None:
--- a/tests/hedging/test_decision.py
+++ b/tests/hedging/test_decision.py
@@ -52,8 +52,8 @@
 
 
 def test_few_known_runs_delay_the_second_one():
-    few = first_check(learned([0.1] * 2, until=1.0), run(0.0), 1.5)
-    many = first_check(learned([0.1] * 500), run(0.0), NOW)
+    few = first_check(learned([0.1] * 2, until=1.0), "p", "r", "s0", 1.5)
+    many = first_check(learned([0.1] * 500), "p", "r", "s0", NOW)
     assert few is not None and many is not None
     assert few >= many
 
@@ -74,7 +74,7 @@
     model = learned(spread(0.1))
     for _ in range(4):
         model.suspect("s0", 5.0, NOW)
-    assert first_check(model, run(0.0), NOW) == 0.0
+    assert first_check(model, "p", "r", "s0", NOW) == 0.0
     assert decide(model, run(0.0), OTHERS, now=NOW).wants_hedge
 
 
