--- a/src/amaranthferry/hedging/runs.py
+++ b/src/amaranthferry/hedging/runs.py
@@ -243,6 +243,7 @@
         hedge = self.open.pop(request_id, None)
         if hedge is None:
             self._stop_checks(run.exchange)
+            run.exchange.run = None
             self._app.handle(event)
             return
         if run is hedge.first:
