--- a/src/amaranthferry/core.py
+++ b/src/amaranthferry/core.py
@@ -15,11 +15,13 @@
 from .effects import Effect
 from .events import Event
 from .harm import updates
+from .hedging import accounting
 from .relocation import hosting
 from .state import HostState
 
 __all__ = [
     "HostState",
+    "accounting",
     "coordination",
     "entry",
     "fallback",
--- a/src/amaranthferry/gateway/log_events.py
+++ b/src/amaranthferry/gateway/log_events.py
@@ -110,6 +110,9 @@
     # request_id, route, server, runs, ages, framing, closed_by_peer, partial_event,
     # server_limit
     REQUEST_ANSWERED = "request.answered"
+    # request_id, route, service, first, second, reason, age, remaining, fresh, lasted,
+    # winner, end: a second run, at its end; the forecasts are those that it was sent by
+    REQUEST_HEDGED = "request.hedged"
     # request_id, route, workspace, outcome, reason, retry_after, runs, caller_gone, age
     REQUEST_SETTLED = "request.settled"
     DISPATCH_UNREACHED = "dispatch.unreached"  # request_id, server, problem
--- a/src/amaranthferry/gateway/options.py
+++ b/src/amaranthferry/gateway/options.py
@@ -30,7 +30,7 @@
 
     enabled: bool = False
     #: The extra work, as a fraction of each service's work.
-    limit: float = 0.02
+    limit: Annotated[float, msgspec.Meta(ge=0.0, le=1.0)] = 0.02
 
 
 class SharingOptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/amaranthferry/gateway/performer.py
+++ b/src/amaranthferry/gateway/performer.py
@@ -1,7 +1,6 @@
 """Perform the reducer's effects for routed requests."""
 
 import asyncio
-from collections.abc import Callable
 from functools import singledispatch
 from typing import TYPE_CHECKING
 
@@ -14,6 +13,7 @@
     CountMetric,
     Dispatch,
     Effect,
+    HedgeDispatch,
     MakeClaim,
     MoveRun,
     ObserveMetric,
@@ -35,12 +35,12 @@
     DeadlinePassed,
     DispatchFailed,
     DispatchRefused,
-    Event,
     MoveEnded,
     PeerLost,
     PeerReceived,
 )
 from ..leaving import incarnation_of
+from ..messages import ServerIncarnation
 from ..problems import Problem
 from ..relocation.messages import MoveOutcome
 from ..requests import Request
@@ -109,8 +109,7 @@
         timed_out: bool = False,
         host_stops: bool = False,
     ) -> None:
-        if exchange.task is not None:
-            exchange.task.cancel()
+        _cancel_runs(self.app, exchange)
         ended = DispatchFailed if exchange.request_sent else DispatchRefused
         self.app.handle(
             ended(
@@ -232,11 +231,46 @@
         waited=round(waited, 4),
         decided_by=decided_by,
     )
-    report: Callable[[Event], None] = app.handle
+    hedger = app.hedger
+    run = hedger.new_run(exchange) if hedger and hedger.watches(req) else None
+    report = run.report if run else app.handle
+    dispatch, exchange.task = _send(
+        performer, exchange, server, incarnation, decided_by, report
+    )
+    if hedger and run:
+        hedger.begin(run, dispatch, exchange.task)
+
+
+@_perform.register
+def _(effect: HedgeDispatch, performer: Performer) -> None:
+    app = performer.app
+    exchange = app.exchanges[effect.request_id]
+    server = app.state.deployment.servers[effect.server]
+    incarnation = incarnation_of(app.state.deployment, effect.server)
+    assert app.hedger is not None and incarnation is not None
+    exchange.dispatches += 1
+    run = app.hedger.new_run(exchange, is_hedge=True)
+    dispatch, task = _send(
+        performer, exchange, server, incarnation, Decider.LOCAL, run.report
+    )
+    app.hedger.begin(run, dispatch, task)
+
+
+def _send(
+    performer: Performer,
+    exchange: RoutedExchange,
+    server: BackendServer,
+    incarnation: ServerIncarnation,
+    decided_by: Decider,
+    report: dispatching.Report,
+) -> tuple[dispatching.Dispatch, "asyncio.Task[None]"]:
+    """Start a dispatch of an exchange, which reports how it ends."""
+    app = performer.app
+    request_id = exchange.call.request_id
     if app.rollouts is not None:
         report = app.rollouts.watch(
             server.pool,
-            effect.request_id,
+            request_id,
             exchange.call.route.name,
             server.name,
             streaming=exchange.call.streaming,
@@ -249,7 +283,7 @@
         incarnation=incarnation,
         decided_by=decided_by,
         clock=app.clock,
-        can_rerun=lambda: app.can_rerun(effect.request_id),
+        can_rerun=lambda: app.can_rerun(request_id),
         times=app.answer_times,
         is_limited=lambda: app.state.server_rates.is_limited(incarnation),
         answers=app.answers,
@@ -259,10 +293,19 @@
         spawn=app.spawn,
     )
     exchange.dispatch = dispatch
-    exchange.task = app.spawn(dispatch.run())
-    exchange.task.add_done_callback(
-        lambda task: _finish_dispatch(performer, exchange, dispatch, task)
+    task = app.spawn(dispatch.run())
+    task.add_done_callback(
+        lambda task: _finish_dispatch(performer, exchange, dispatch, task, report)
     )
+    return dispatch, task
+
+
+def _cancel_runs(app: "Gateway", exchange: RoutedExchange) -> None:
+    """Cancel all runs of a request that ends without an answer."""
+    if app.hedger is not None:
+        app.hedger.abandon(exchange)
+    if exchange.task is not None:
+        exchange.task.cancel()
 
 
 def _moves(state: HostState, server: BackendServer) -> MoveRules | None:
@@ -306,17 +349,18 @@
     exchange: RoutedExchange,
     dispatch: dispatching.Dispatch,
     task: "asyncio.Task[None]",
+    report: dispatching.Report,
 ) -> None:
     """Count the dispatch; close the exchange unless it has been dispatched again."""
     app = performer.app
     request_id = exchange.call.request_id
     failed = not task.cancelled() and task.exception() is not None
     if failed and not exchange.request_sent:
-        app.handle(DispatchRefused(now=app.clock(), request_id=request_id))
+        report(DispatchRefused(now=app.clock(), request_id=request_id))
     elif failed:
         # The request may have run, and nothing else would end it before its deadline.
         exchange.unknown_dispatches += 1
-        app.handle(DispatchFailed(now=app.clock(), request_id=request_id))
+        report(DispatchFailed(now=app.clock(), request_id=request_id))
     if app.rollouts is not None:
         app.rollouts.close(
             dispatch.service,
@@ -331,6 +375,8 @@
     _record_limit(performer, dispatch)
     if dispatch.process is not None:
         app.telemetry.broken.add(route, dispatch.process)
+    if dispatch.superseded:
+        return
     if request_id in app.state.requests or (
         app.exchanges.get(request_id) is not exchange
     ):
@@ -366,8 +412,7 @@
     exchange = app.exchanges.get(effect.request_id)
     if exchange is None:
         return
-    if exchange.task is not None:
-        exchange.task.cancel()
+    _cancel_runs(app, exchange)
     app.handle_later(DispatchFailed(now=app.clock(), request_id=effect.request_id))
 
 
--- a/src/amaranthferry/gateway/telemetry.py
+++ b/src/amaranthferry/gateway/telemetry.py
@@ -11,6 +11,7 @@
 
 from ..availability import count_servers, idle_slots, role_of
 from ..harm.subjects import SubjectState
+from ..hedging.metrics import hedging_gauges
 from ..intake.state import Port
 from ..replica.watching import SyncState
 from ..state import HostState
@@ -118,6 +119,16 @@
             "Messages that were no request within the limits.",
             ("port", "status"),
         )
+        self.hedges = Counter(
+            "second_runs",
+            "Second runs of slow requests, by the run that counted and how they ended.",
+            ("route", "winner", "end"),
+        )
+        self.hedges_denied = Counter(
+            "second_runs_denied",
+            "Decisions against a second run of a request, by reason.",
+            ("service", "reason"),
+        )
         self.decisions = Counter("decisions", "Counts of the reducer.", ("name",))
         self.first_byte = Histogram(
             "first_byte_seconds", "From arrival to the first byte.", ("route",)
@@ -162,6 +173,8 @@
             telemetry.named_limits,
             telemetry.ended_connections,
             telemetry.malformed_requests,
+            telemetry.hedges,
+            telemetry.hedges_denied,
             telemetry.decisions,
         ):
             family = CounterMetricFamily(
@@ -313,6 +326,7 @@
             ("service",),
             {(pool,): budget.tokens for pool, budget in state.repeat_budgets.items()},
         ),
+        *hedging_gauges(app.hedger),
         *_coordinator_gauges(app),
     ]
 
