--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -125,7 +125,9 @@
         self.urls = []
         self.metrics = []
 
-    async def open(self, *, engines=2, ledgers=2, hosts=1, spec=None, **bounds):
+    async def open(
+        self, *, engines=2, ledgers=2, hosts=1, spec=None, options=None, **bounds
+    ):
         url = await self._stack.enter_async_context(serve(self.store.app))
         self.store_address = url.removeprefix("http://")
         await self.store.put("config", "main", spec or config())
@@ -134,7 +136,7 @@
         for number in range(ledgers):
             await self.add_server("ledger", f"ledger-{number}")
         for number in range(hosts):
-            await self.add_host(f"host-{number}", **bounds)
+            await self.add_host(f"host-{number}", options=options, **bounds)
         return self
 
     async def add_server(self, service, name, **fields):
--- a/tests/hedging/test_hedged_requests.py
+++ b/tests/hedging/test_hedged_requests.py
@@ -6,7 +6,6 @@
 import aiohttp
 import pytest
 
-from amaranthferry.gateway.application import Gateway
 from amaranthferry.gateway.options import HedgingOptions, HostOptions
 from amaranthferry.standins.metadata import StoreFault
 from amaranthferry.standins.routed import ServerFault
@@ -22,15 +21,12 @@
 
 
 @contextlib.asynccontextmanager
-async def fleet(monkeypatch, options=OPTIONS, **arguments):
+async def fleet(options=OPTIONS, **arguments):
     """Run a fleet whose hosts have the options."""
-    create = Gateway.from_config.__func__
-    monkeypatch.setattr(
-        Gateway,
-        "from_config",
-        classmethod(lambda cls, settings: create(cls, settings, options)),
-    )
-    async with plain_fleet(engines=0, **arguments) as (running, caller):
+    async with plain_fleet(engines=0, options=options, **arguments) as (
+        running,
+        caller,
+    ):
         for server in running.servers.values():
             server.processing_time = USUAL
             record_connections(server)
@@ -95,9 +91,9 @@
             await asyncio.sleep(0.01)
 
 
-async def test_request_of_a_slow_server_is_answered_by_another(monkeypatch):
+async def test_request_of_a_slow_server_is_answered_by_another():
     """Guard against a caller that waits for a slow server while others are free."""
-    async with fleet(monkeypatch) as (running, caller):
+    async with fleet() as (running, caller):
         names = make_first_slow(running)
         attempt, status, headers, body = await caller.send("GET", "/look/x")
         assert status == 200
@@ -116,9 +112,9 @@
         )
 
 
-async def test_hedging_is_off_without_the_option(monkeypatch):
+async def test_hedging_is_off_without_the_option():
     """Guard against second runs in deployments that didn't ask for them."""
-    async with fleet(monkeypatch, OFF) as (running, caller):
+    async with fleet(OFF) as (running, caller):
         assert running.hosts[0].hedger is None
         for server in running.servers.values():
             server.processing_time = 0.5
@@ -127,9 +123,9 @@
         assert len(running.servers_that_ran(attempt)) == 1
 
 
-async def test_unsafe_request_is_never_sent_twice(monkeypatch):
+async def test_unsafe_request_is_never_sent_twice():
     """Guard against a payment that runs at two servers."""
-    async with fleet(monkeypatch) as (running, caller):
+    async with fleet() as (running, caller):
         for server in running.servers.values():
             server.processing_time = 0.6
         attempt, status, _, _ = await caller.send("POST", "/pay/x", data=b"1")
@@ -138,9 +134,9 @@
         assert second_runs(running) == {}
 
 
-async def test_late_bytes_of_the_other_run_reach_no_caller(monkeypatch):
+async def test_late_bytes_of_the_other_run_reach_no_caller():
     """Guard against an answer that carries bytes of another run or request."""
-    async with fleet(monkeypatch) as (running, caller):
+    async with fleet() as (running, caller):
         names = make_first_slow(running)
         bodies = []
         async with aiohttp.ClientSession() as session:
@@ -163,9 +159,9 @@
         assert names[0] not in bodies
 
 
-async def test_failure_of_the_second_run_leaves_the_first_one_to_answer(monkeypatch):
+async def test_failure_of_the_second_run_leaves_the_first_one_to_answer():
     """Guard against a failed second run that ends a sound first one."""
-    async with fleet(monkeypatch) as (running, caller):
+    async with fleet() as (running, caller):
         names = []
 
         def fail_second(name):
@@ -184,9 +180,9 @@
         assert second_runs(running) == {("first", "failed"): 1}
 
 
-async def test_failure_of_the_first_run_leaves_the_second_one_to_answer(monkeypatch):
+async def test_failure_of_the_first_run_leaves_the_second_one_to_answer():
     """Guard against a request that is given up while a run of it goes on."""
-    async with fleet(monkeypatch) as (running, caller):
+    async with fleet() as (running, caller):
         names = []
         for name, server in running.servers.items():
             server.on_execution = lambda attempt, name=name: names.append(name)
@@ -199,9 +195,9 @@
         assert len(names) == 2
 
 
-async def test_caller_that_leaves_has_both_runs_cancelled(monkeypatch):
+async def test_caller_that_leaves_has_both_runs_cancelled():
     """Guard against servers that go on working for nobody."""
-    async with fleet(monkeypatch) as (running, caller):
+    async with fleet() as (running, caller):
         for server in running.servers.values():
             server.fault = ServerFault.NO_ANSWER
         task = asyncio.create_task(caller.send("GET", "/look/x", attempt="left"))
@@ -214,9 +210,9 @@
         assert second_runs(running) == {("none", "cancelled"): 1}
 
 
-async def test_deadline_ends_both_runs_as_unknown(monkeypatch):
+async def test_deadline_ends_both_runs_as_unknown():
     """Guard against "has not run" about a request that two servers may have run."""
-    async with fleet(monkeypatch) as (running, caller):
+    async with fleet() as (running, caller):
         for server in running.servers.values():
             server.fault = ServerFault.NO_ANSWER
         attempt, status, headers, _ = await caller.send("GET", "/look/x", deadline=0.6)
@@ -228,9 +224,9 @@
         )
 
 
-async def test_planned_stop_lets_two_runs_end(monkeypatch):
+async def test_planned_stop_lets_two_runs_end():
     """Guard against a stop that interrupts a request with a second run."""
-    async with fleet(monkeypatch) as (running, caller):
+    async with fleet() as (running, caller):
         for server in running.servers.values():
             server.processing_time = 0.8
         task = asyncio.create_task(caller.send("GET", "/look/x", attempt="open"))
@@ -245,11 +241,9 @@
 
 
 @pytest.mark.parametrize("reason", ["store_lost", "stopping", "busy"])
-async def test_no_second_run_in_a_store_outage_a_stop_or_an_overload(
-    monkeypatch, reason
-):
+async def test_no_second_run_in_a_store_outage_a_stop_or_an_overload(reason):
     """Guard against extra work while there is no capacity or no sound state."""
-    async with fleet(monkeypatch) as (running, caller):
+    async with fleet() as (running, caller):
         (host,) = running.hosts
         if reason == "store_lost":
             running.store.fault = StoreFault.RESET
@@ -270,9 +264,9 @@
         assert ("ledger", reason) in host.telemetry.hedges_denied.values
 
 
-async def test_second_run_gives_its_slot_to_a_request_that_waits(monkeypatch):
+async def test_second_run_gives_its_slot_to_a_request_that_waits():
     """Guard against a first attempt that waits behind extra work."""
-    async with fleet(monkeypatch) as (running, caller):
+    async with fleet() as (running, caller):
         for server in running.servers.values():
             server.fault = ServerFault.NO_ANSWER
         asks = [asyncio.create_task(caller.send("GET", "/look/x", attempt="hedged"))]
