--- a/tests/gateway/test_logs.py
+++ b/tests/gateway/test_logs.py
@@ -150,3 +150,29 @@
     assert [step.event for step in steps] == ["request.held", "part.held"]
     assert steps[1].context
     assert steps[1].fields == {"part": "bad", "ends": 3}
+
+
+def test_request_trace_shows_what_was_known_of_both_servers_of_a_second_run():
+    held_off = {"event": "server.held_off", "host": "a"}
+    hedged = {
+        "event": "request.hedged",
+        "host": "a",
+        "request_id": "r",
+        "first": "s1",
+        "second": "s2",
+        "reason": "slow",
+        "winner": "second",
+    }
+    lines = [
+        {"timestamp": "1", "server": "s1", **held_off},
+        {"timestamp": "1", "server": "s2", **held_off},
+        {"timestamp": "1", "server": "s3", **held_off},
+        {"timestamp": "2", **hedged},
+    ]
+    steps = build_trace(lines, "r")
+    assert [(step.event, step.fields.get("server")) for step in steps] == [
+        ("request.hedged", None),
+        ("server.held_off", "s1"),
+        ("server.held_off", "s2"),
+    ]
+    assert "winner=second" in steps[0].text()
