--- a/src/amaranthferry/rollout/agent.py
+++ b/src/amaranthferry/rollout/agent.py
@@ -27,6 +27,9 @@
 #: Time between two ticks above which this host was suspended, less than the time after
 #: which others decide instead.
 PAUSE_THRESHOLD: Seconds = 0.8
+#: Time between two decisions on a rollout; each one adds up the reports of all hosts.
+DECISION_PERIOD: Seconds = 0.2
+STAGES = frozenset(Stage)
 _RUNNING = (RequestState.PERMITTED, RequestState.DISPATCHED, RequestState.ANSWERING)
 _log = structlog.get_logger(__name__)
 
@@ -234,24 +237,17 @@
     def _decide(
         self, service: PoolId, participant: Participant, running: int, now: Seconds
     ) -> None:
-        decider = self.deciders.get(service)
-        if decider is None:
-            limits = Limits(
-                share=self._bounds.exposure_share,
-                slack=self._bounds.exposure_slack,
-                duration=participant.order.duration,
-            )
-            decider = Decider(participant.order, limits, self._store, self._spawn)
-            self.deciders[service] = decider
+        decider = self._open_decider(service, participant.order)
+        if now - decider.decided_at < DECISION_PERIOD:
+            return
+        decider.decided_at = now
         host, sides = self._state.host, self._sides.get(service, Sides())
         hosts = len(self._state.hosts)
         report = participant.report(now, host, hosts, running)
         decider.receive(report, now)
         if decider.is_lonely and participant.is_due(now, hosts, running):
             # Hosts that take this one for silent learn that it isn't.
-            for other in self._live_hosts():
-                if other != host:
-                    self._send(other, report)
+            self._send_all(self._live_hosts(), report)
         changed = decider.advance(
             now,
             age=participant.age(now),
@@ -266,9 +262,24 @@
         if participant.follow(decider.step, now):
             self._refresh()
         if changed:
-            for other in decider.reports:
-                if other != host:
-                    self._send(other, decider.step)
+            self._send_all(decider.reports, decider.step)
+
+    def _open_decider(self, service: PoolId, order: RolloutOrder) -> Decider:
+        if service not in self.deciders:
+            limits = Limits(
+                share=self._bounds.exposure_share,
+                slack=self._bounds.exposure_slack,
+                duration=order.duration,
+            )
+            decider = Decider(order, limits, self._store, self._spawn)
+            self.deciders[service] = decider
+        return self.deciders[service]
+
+    def _send_all(self, hosts: Iterable[HostId], message: Message) -> None:
+        """Send a message to all hosts of some but this one."""
+        for host in hosts:
+            if host != self._state.host:
+                self._send(host, message)
 
     def _heeded_hosts(self, now: Seconds) -> frozenset[HostId]:
         """Return the hosts that have to say that they send nothing to old servers."""
@@ -285,6 +296,9 @@
             return
         now = self._clock()
         participant.silent_hosts.discard(sender)
+        if message.stage not in STAGES:
+            # A later release may have further stages; a host that waits is safe.
+            return
         if isinstance(message, RolloutStep):
             # A host that isn't asked any more, or not yet, doesn't decide for this one.
             if sender == self._decider_of(message.service, participant, now) and (
--- a/src/amaranthferry/rollout/decider.py
+++ b/src/amaranthferry/rollout/decider.py
@@ -1,6 +1,7 @@
 """Decide on one rollout for all hosts, and write its state to the store."""
 
 import asyncio
+import math
 from collections.abc import Callable, Coroutine
 from typing import Any, Protocol
 
@@ -40,6 +41,7 @@
     ) -> None:
         self.order = order
         self.decision = RolloutDecision(limits)
+        self.decided_at: Seconds = -math.inf
         self.reports: dict[HostId, RolloutReport] = {}
         self._received: dict[HostId, Seconds] = {}
         self._store = store
--- a/src/amaranthferry/rollout/evidence.py
+++ b/src/amaranthferry/rollout/evidence.py
@@ -116,33 +116,36 @@
     return tuple(counts[:end])
 
 
+class _Sum:
+    """Add up the counts of one route at one side."""
+
+    def __init__(self) -> None:
+        self.counts = [0, 0, 0]
+        self.histograms = [[0] * BUCKET_COUNT for _ in range(3)]
+
+    def add(self, item: RouteCounts) -> None:
+        """Add the counts of one host."""
+        for number, count in enumerate((item.answers, item.failures, item.refusals)):
+            self.counts[number] += count
+        histograms = (item.first, item.rest, item.pending)
+        for total, histogram in zip(self.histograms, histograms, strict=True):
+            for number, count in enumerate(histogram[:BUCKET_COUNT]):
+                if count:
+                    total[number] += count
+
+    def total(self, route: str, is_new: bool) -> RouteCounts:
+        """Return the sum."""
+        answers, failures, refusals = self.counts
+        first, rest, pending = map(_trim, self.histograms)
+        return RouteCounts(
+            route, is_new, answers, failures, refusals, first, rest, pending
+        )
+
+
 def add_up(reports: Iterable[tuple[RouteCounts, ...]]) -> dict[Key, RouteCounts]:
     """Return the sum of several hosts' counts by route and side."""
-    total: dict[Key, RouteCounts] = {}
+    sums: dict[Key, _Sum] = {}
     for counts in reports:
         for item in counts:
-            key = (item.route, item.is_new)
-            known = total.get(key)
-            total[key] = item if known is None else _sum(known, item)
-    return total
-
-
-def _sum(a: RouteCounts, b: RouteCounts) -> RouteCounts:
-    return RouteCounts(
-        route=a.route,
-        is_new=a.is_new,
-        answers=a.answers + b.answers,
-        failures=a.failures + b.failures,
-        refusals=a.refusals + b.refusals,
-        first=add_histograms(a.first, b.first),
-        rest=add_histograms(a.rest, b.rest),
-        pending=add_histograms(a.pending, b.pending),
-    )
-
-
-def add_histograms(a: Sequence[int], b: Sequence[int]) -> tuple[int, ...]:
-    """Return the sum of two histograms of any lengths."""
-    size = max(len(a), len(b))
-    return tuple(
-        (a[i] if i < len(a) else 0) + (b[i] if i < len(b) else 0) for i in range(size)
-    )
+            sums.setdefault((item.route, item.is_new), _Sum()).add(item)
+    return {key: found.total(*key) for key, found in sums.items()}
--- a/tests/rollout/test_failures.py
+++ b/tests/rollout/test_failures.py
@@ -4,6 +4,7 @@
 
 from amaranthferry.rollout import decider as decider_module
 from amaranthferry.rollout.gate import ServicePolicy
+from amaranthferry.rollout.messages import RolloutStep
 from amaranthferry.rollout.steps import Stage
 
 from .agents import Agents
@@ -343,3 +344,14 @@
     fleet.sent.clear()
     await fleet.run(5)
     assert fleet.sent == []
+
+
+async def test_stage_of_a_later_release_is_ignored():
+    fleet = Agents(3)
+    fleet.start()
+    await fleet.run(1)
+    decider = fleet.decider()
+    other = next(host for host in fleet.agents if host != decider)
+    step = RolloutStep("s", "v2", 99, "newer", 1.0)
+    fleet.agents[other].receive(decider, step)
+    assert fleet.stages()[other] == "canary"
