--- a/tests/gateway/test_rollouts.py
+++ b/tests/gateway/test_rollouts.py
@@ -116,6 +116,45 @@
         assert before <= SHARE * total + SLACK
 
 
+async def test_rollout_goes_on_when_the_host_that_decides_stops():
+    """Guards against a rollout that ends with its decider."""
+    async with fleet(ledgers=0, hosts=0) as (run, caller):
+        await open_fleet(run)
+        for number in range(3):
+            await run.add_host(f"host-{number}", rollouts=True)
+        await asyncio.sleep(1.5)
+        await start(run, duration=10)
+        load = Load(caller, 3)
+        await load.run(lambda: False, limit=2.0)
+        (decider,) = [
+            number
+            for number, host in enumerate(run.hosts)
+            if "ledger" in host.rollouts.deciders
+        ]
+        left = [number for number in range(3) if number != decider]
+        load = Load(caller, 3)
+        load._hosts = itertools.cycle(left)
+        await run.hosts[decider].stop()
+        await load.run(is_over(run), limit=12)
+        assert state_of(run) == "completed"
+        assert set(load.statuses) == {200}
+
+
+async def test_host_without_rollouts_keeps_a_version_from_being_completed():
+    """Guards against a completion that cuts off the requests of an older host."""
+    async with fleet(ledgers=0, hosts=0) as (run, caller):
+        await open_fleet(run)
+        await run.add_host("host-0", rollouts=True)
+        await run.add_host("host-1", rollouts=True)
+        await run.add_host("host-2")
+        await asyncio.sleep(1.5)
+        await start(run, duration=5)
+        load = Load(caller, 3)
+        await load.run(is_over(run), limit=9)
+        assert state_of(run) == "rolled_back"
+        assert set(load.statuses) == {200}
+
+
 async def start_engines(run, *, duration, **faults):
     for number in range(2):
         server = await run.add_server("engines", f"new-{number}", version="v2", born=2)
