--- a/src/amaranthferry/coordinator.py
+++ b/src/amaranthferry/coordinator.py
@@ -104,6 +104,8 @@
         self.shares: SlotShares | None = None
         #: Whether it decides for all hosts though these decide locally at other times.
         self.serves_all = False
+        #: Whether its host hears no other one, and so shouldn't be waited for.
+        self.is_deaf = False
         self._quotas: Mapping[WorkspaceId, Quota] = {}
         self._shard_count = 1
         self._shard_servers: tuple[BackendServer, ...] = ()
@@ -195,7 +197,7 @@
 
     def serve_own(self) -> None:
         """Decide for this host alone again."""
-        self.serves_all = False
+        self.serves_all = self.is_deaf = False
         self._unregistered.clear()
         self._apply_shares()
 
@@ -483,7 +485,7 @@
 
     def queue_notices(self, hosts: Collection[HostId], now: Seconds) -> list[Effect]:
         """Return the notices that are due to those hosts that have waiting requests."""
-        if self._rules.notice_interval <= 0:
+        if self._rules.notice_interval <= 0 or self.is_deaf:
             return []
         interval = notice_interval(self._rules, len(self.hosts))
         waiting = sorted(set(hosts) & set(self.queue.hosts()))
--- a/tests/contention/test_shared_order.py
+++ b/tests/contention/test_shared_order.py
@@ -170,8 +170,12 @@
         fleet.is_lost = lambda sender, receiver: receiver == coordinator
     else:
         fleet.is_lost = lambda sender, receiver: sender == coordinator
-    fleet.run(6)
+    fleet.run(3)
+    assert rejected(fleet) < MAX_REJECTED
+    fleet.counts.clear()
+    fleet.run(3)
     assert rejected(fleet) < MAX_REJECTED
+    assert answered(fleet) > 0.8 * fleet.slots / 0.09 * 3
     fleet.is_lost = lambda sender, receiver: False
     fleet.run(6)
     fleet.counts.clear()
