--- a/src/amaranthferry/contention/orders.py
+++ b/src/amaranthferry/contention/orders.py
@@ -17,9 +17,10 @@
 #: longer than hosts take to find out that a coordinator is gone: those that return to their
 #: own decisions before that would overrun the servers.
 LEASE: Seconds = 10.0
-#: Interval at which a coordinator renews the leases.
+#: Least interval at which a coordinator tells all hosts at once of an order. Afterwards its
+#: adverts renew the leases, in rotation so that their traffic is bounded.
 RENEWAL_INTERVAL: Seconds = 1.0
-#: Time without a message of any host after which a coordinator renews no leases.
+#: Time without a message of any host after which a coordinator sends no adverts.
 HEARING_TIME: Seconds = 1.0
 #: Time constant over which the use of the slots is averaged.
 USE_TIME: Seconds = 2.0
@@ -47,14 +48,16 @@
     measured_at: Seconds | None = None
     busy_at: Seconds = 0.0
     renews_at: Seconds = 0.0
+    #: Whether some hosts may not have been told.
+    is_news: bool = True
 
     def renew(self, now: Seconds) -> None:
         """Record that the order is in force."""
         self.until = max(self.until, now + LEASE)
 
     def renew_soon(self) -> None:
-        """Have the leases renewed at the next opportunity."""
-        self.renews_at = 0.0
+        """Have all hosts told at the next opportunity."""
+        self.renews_at, self.is_news = 0.0, True
 
     def restart(self, now: Seconds) -> None:
         """Count the servers as full from now on, as a rejection shows."""
@@ -77,10 +80,10 @@
         return now - self.busy_at >= CALM_TIME
 
     def takes_renewal(self, now: Seconds) -> bool:
-        """Return whether the leases are to be renewed now, and count it as done."""
-        if now < self.renews_at:
+        """Return whether all hosts are to be told now, and count it as done."""
+        if not self.is_news or now < self.renews_at:
             return False
-        self.renews_at = now + RENEWAL_INTERVAL
+        self.renews_at, self.is_news = now + RENEWAL_INTERVAL, False
         return True
 
 
--- a/src/amaranthferry/contention/sharing.py
+++ b/src/amaranthferry/contention/sharing.py
@@ -109,7 +109,9 @@
     order.renew(now)
     coordinator = state.coordinators.get(shard)
     if coordinator is None:
+        # It was suspended: hosts return to it once they hear of it.
         order.restart(now)
+        order.is_news = True
         return _renew(state, shard, order)
     if not coordinator.serves_all:
         coordinator.serve_all(now)
@@ -135,11 +137,9 @@
 
 
 def _renew(state: HostState, shard: ShardId, order: SharedOrder) -> list[Effect]:
-    if not _hears_others(state) or not order.takes_renewal(state.now):
+    if not order.takes_renewal(state.now):
         return []
-    coordinator = state.coordinators.get(shard)
-    waits = (0.0,) if coordinator is None else coordinator.waits(state.now)
-    return _tell_hosts(state, shard, waits)
+    return _tell_hosts(state, shard, (0.0,))
 
 
 def _hears_others(state: HostState) -> bool:
--- a/src/amaranthferry/coordinator.py
+++ b/src/amaranthferry/coordinator.py
@@ -478,8 +478,7 @@
         wait = self.forecast.wait(rank[:2], ahead, now, slots=self.slots())
         return min(MAX_PREDICTED_WAIT, wait.expected)
 
-    def waits(self, now: Seconds) -> tuple[Seconds, ...]:
-        """Return the predicted wait by tier rank."""
+    def _waits(self, now: Seconds) -> tuple[Seconds, ...]:
         ranks = (Rank(tier + 1, 0, 0, 0.0, 0) for tier in range(self._tiers))
         return tuple(self.predicted_wait(rank, now) for rank in ranks)
 
@@ -499,7 +498,8 @@
 
         A pool that each host decides for itself has no waits in common.
         """
-        if self._rules.decided_locally or not self.has_role:
+        local = self._rules.decided_locally and not self.serves_all
+        if local or self.is_deaf or not self.has_role:
             return []
         if now < self._next_advert_at or not self.hosts:
             return []
@@ -509,7 +509,7 @@
         start = self._next_advert_index % len(hosts)
         self._next_advert_index = start + count
         chosen = (hosts + hosts)[start : start + count]
-        message = ShardAdvert(self.shard, self.coordinator, self.waits(now))
+        message = ShardAdvert(self.shard, self.coordinator, self._waits(now))
         return [SendToHost(host=host, message=message) for host in chosen]
 
 
