--- a/src/amaranthferry/coordinator.py
+++ b/src/amaranthferry/coordinator.py
@@ -110,6 +110,8 @@
         self.shares: SlotShares | None = None
         #: Whether it decides for all hosts though these decide locally at other times.
         self.serves_all = False
+        #: Whether its host hears no other one, and so shouldn't be waited for.
+        self.is_deaf = False
         self._quotas: Mapping[WorkspaceId, Quota] = {}
         self._shard_count = 1
         self._shard_servers: tuple[BackendServer, ...] = ()
@@ -249,7 +251,7 @@
 
     def serve_own(self) -> None:
         """Decide for this host alone again."""
-        self.serves_all = False
+        self.serves_all = self.is_deaf = False
         self._unregistered.clear()
         self._apply_shares()
 
@@ -530,14 +532,13 @@
         wait = self.forecast.wait(rank[:2], ahead, now, slots=self.slots())
         return min(MAX_PREDICTED_WAIT, wait.expected)
 
-    def waits(self, now: Seconds) -> tuple[Seconds, ...]:
-        """Return the predicted wait by tier rank."""
+    def _waits(self, now: Seconds) -> tuple[Seconds, ...]:
         ranks = (Rank(tier + 1, 0, 0, 0.0, 0) for tier in range(self._tiers))
         return tuple(self.predicted_wait(rank, now) for rank in ranks)
 
     def queue_notices(self, hosts: Collection[HostId], now: Seconds) -> list[Effect]:
         """Return the notices that are due to those hosts that have waiting requests."""
-        if self._rules.notice_interval <= 0:
+        if self._rules.notice_interval <= 0 or self.is_deaf:
             return []
         interval = notice_interval(self._rules, len(self.hosts))
         waiting = sorted(set(hosts) & set(self.queue.hosts()))
@@ -551,7 +552,8 @@
 
         A pool that each host decides for itself has no waits in common.
         """
-        if self._rules.decided_locally or not self.has_role:
+        local = self._rules.decided_locally and not self.serves_all
+        if local or self.is_deaf or not self.has_role:
             return []
         if now < self._next_advert_at or not self.hosts:
             return []
@@ -561,7 +563,7 @@
         start = self._next_advert_index % len(hosts)
         self._next_advert_index = start + count
         chosen = (hosts + hosts)[start : start + count]
-        message = ShardAdvert(self.shard, self.coordinator, self.waits(now))
+        message = ShardAdvert(self.shard, self.coordinator, self._waits(now))
         return [SendToHost(host=host, message=message) for host in chosen]
 
 
