--- a/src/amaranthferry/gateway/moving.py
+++ b/src/amaranthferry/gateway/moving.py
@@ -129,6 +129,7 @@
         if self._handover.is_final:
             self._end()
         else:
+            self.is_stop_in_doubt = False
             self._stopped_at = self._clock()
             self._on_stopped()
         self._settled.set()
