--- a/src/amaranthferry/relocation/chances.py
+++ b/src/amaranthferry/relocation/chances.py
@@ -49,6 +49,14 @@
             return 0.5
         return 1.0 - self.longer(tokens) / rest
 
+    def usual_rest(self, *, written: Tokens) -> float:
+        """Return the median of the tokens that follow what is written."""
+        rest = self.longer(written)
+        if rest < MIN_TAIL:
+            return float(written)
+        point = _STANDARD.inv_cdf(1.0 - rest / 2)
+        return max(1.0, self.median * exp(self.spread * point) - written)
+
 
 @lru_cache(maxsize=4096)
 def _spread(deviation: float) -> float:
--- a/src/amaranthferry/relocation/coordination.py
+++ b/src/amaranthferry/relocation/coordination.py
@@ -20,6 +20,7 @@
     is_in_doubt,
 )
 from .messages import MoveOutcome, MoveProposal, MoveReport
+from .state import MoveBook
 
 #: Interval at which all runs are reviewed. Hosts report progress half as often, so a
 #: shorter one would see little that is new.
@@ -41,6 +42,7 @@
         return []
     if now < book.reviewed_at + REVIEW_PERIOD or coordinator.is_rebuilding(now):
         return []
+    _record_paces(coordinator, min(now - book.reviewed_at, 2 * REVIEW_PERIOD))
     book.reviewed_at = now
     book.doubtful = [
         permit.request.request_id
@@ -66,7 +68,7 @@
             known[request_id] = permit
     moves = choose_moves(
         [_run(coordinator, permit, now) for permit in known.values()],
-        lambda run: _slots_for(known[run.request_id], free, now),
+        lambda run: _slots_for(book, known[run.request_id], free, now),
         rules,
         waiting=_first_waiting(coordinator, now),
         busy=book.busy_servers(),
@@ -115,19 +117,18 @@
 
 
 def _has_free_slot(record: ServerRecord, now: Seconds) -> bool:
-    """Return whether a server has a slot for a copy; a slow or limited one has none."""
+    """Return whether a server has a slot for a copy; one with a limit has none."""
     return (
         record.accepts_work
         and now >= record.blocked_until
         and record.allowance is None
-        and not record.straggler.straggling
         and not record.runs_suspect
         and len(record.permits) + record.external.running(now) < record.slots
     )
 
 
 def _slots_for(
-    permit: Permit, free: list[ServerRecord], now: Seconds
+    book: MoveBook, permit: Permit, free: list[ServerRecord], now: Seconds
 ) -> Iterator[Slot]:
     """Yield the free slots where a run could go on; its memory fits one version."""
     source, request = permit.server, permit.request
@@ -139,18 +140,25 @@
             and record.accepts_from(permit.host, now)
             and record.tokens + permit.tokens <= record.cfg.kv_tokens
         ):
-            pace = _pace(record, len(record.permits) + 1)
+            pace = _pace(book, record, len(record.permits) + 1)
             yield Slot(record.cfg.name, record.cfg.zone, pace)
 
 
-def _pace(record: ServerRecord, batch: int) -> Pace:
-    speed = record.speed
-    return Pace(speed.decode_interval(batch), speed.baseline_decode(1, batch))
+def _record_paces(coordinator: Coordinator, elapsed: Seconds) -> None:
+    for name, record in coordinator.servers.items():
+        if any(permit.output_tokens > 1 for permit in record.permits.values()):
+            recent = record.speed.decode_interval(len(record.permits))
+            coordinator.moves.record_interval(name, recent, elapsed)
+
+
+def _pace(book: MoveBook, record: ServerRecord, batch: int) -> Pace:
+    recent = record.speed.decode_interval(batch)
+    return Pace(recent, book.usual_interval(record.cfg.name, recent))
 
 
 def _run(coordinator: Coordinator, permit: Permit, now: Seconds) -> Run:
     record, request = permit.server, permit.request
-    pace = _pace(record, len(record.permits))
+    pace = _pace(coordinator.moves, record, len(record.permits))
     silent = max(0.0, now - permit.granted - permit.last_progress)
     written = permit.output_tokens
     if silent <= SILENT_TIME:
--- a/src/amaranthferry/relocation/decision.py
+++ b/src/amaranthferry/relocation/decision.py
@@ -1,8 +1,8 @@
 """Decide which runs go on at another engine, and where.
 
-A run moves if its engine probably can't complete it in time and another one with a free
-slot probably can. A slot that somebody waits for is taken only if the run gains more by
-it than the first of those who wait loses: the run's own slot becomes free instead.
+A run moves if another engine with a free slot is clearly more likely to complete it in
+time. A slot that somebody waits for is taken only if the run makes more of its time than
+the first of those who wait, to whom the run's own slot is given instead.
 """
 
 from collections.abc import Callable, Iterable, Sequence
@@ -13,13 +13,16 @@
 from ..types import RequestId, Seconds, ServerId, Tokens, ZoneId
 from .chances import LengthForecast, Pace, completion_chance
 
-#: Chance of completion above which a run isn't considered for a move.
-ENOUGH = 0.6
-#: Least gain in the chance of completion. The forecasts of two engines differ by their
-#: errors alone, and a move that gains no more would be undone by the next one.
-MIN_GAIN = 0.25
+#: Least gain in the chance of completion. The measured paces of equal engines differ by
+#: about a tenth, which changes the chance by up to a tenth where lengths vary as they do;
+#: a move that gains no more would be undone by the next one.
+MIN_GAIN = 0.1
+#: Chance of completion above which no move could gain enough.
+ENOUGH = 1.0 - MIN_GAIN
 #: Time without events while a run changes over: a connection and a short last copy.
 CHANGEOVER: Seconds = 0.1
+#: Shortest time that a request is taken to need; less says nothing about a slot's worth.
+MIN_TIME: Seconds = 0.1
 #: Moves of one run. Each costs a slot at two engines while its memory is copied.
 MAX_MOVES = 3
 #: Fraction of the time left that a copy may take.
@@ -67,7 +70,7 @@
 
 
 def is_in_doubt(run: Run) -> bool:
-    """Return whether a run probably doesn't complete in time where it is."""
+    """Return whether a move could gain enough for a run."""
     return stay_chance(run) < ENOUGH
 
 
@@ -121,15 +124,29 @@
 
 
 def _is_worth_it(move: Move, slot: Slot, waiting: Waiting | None) -> bool:
-    """Return whether the first who waits would make less of the slot than the run."""
+    """Return whether the run makes more of both slots' time than the first who waits.
+
+    The time of a slot counts by the chance of completion that the waiting request would
+    gain there, a second; the target's is taken from it and the source's given to it.
+    """
     if waiting is None:
         return True
-    if waiting.tier < move.run.tier:
+    run = move.run
+    if waiting.tier < run.tier:
         return False
-    at_target = completion_chance(waiting.length, slot.pace, waiting.left, written=0)
-    later = waiting.left - move.copy_time
-    at_source = completion_chance(waiting.length, move.run.pace, later, written=0)
-    return move.moves - move.stays > at_target - at_source
+    rest = run.length.usual_rest(written=run.written)
+    stays_for = min(run.left, rest / run.pace.tokens(1.0))
+    moves_for = move.copy_time + min(run.left, rest / slot.pace.tokens(1.0))
+    given = _worth(waiting, run.pace) * (stays_for - move.copy_time)
+    taken = _worth(waiting, slot.pace) * moves_for
+    return move.moves - move.stays + given > taken
+
+
+def _worth(waiting: Waiting, pace: Pace) -> float:
+    """Return the chance of completion that a request gains a second at some pace."""
+    time = min(waiting.left, waiting.length.median / pace.tokens(1.0))
+    chance = completion_chance(waiting.length, pace, waiting.left, written=0)
+    return chance / max(time, MIN_TIME)
 
 
 def choose_moves(
--- a/src/amaranthferry/relocation/state.py
+++ b/src/amaranthferry/relocation/state.py
@@ -8,6 +8,10 @@
 from ..types import RequestId, Seconds, ServerId
 from .decision import Move
 
+#: Time constant of a server's usual pace. A spell in which an engine is slow is shorter,
+#: and the baselines that stragglers are compared with take minutes to learn a pace.
+USUAL_TIME: Seconds = 10.0
+
 
 class PendingMove(msgspec.Struct, eq=False):
     """Represent a proposed move, whose copy holds a slot at the target."""
@@ -28,9 +32,11 @@
 
     def __init__(self) -> None:
         self._pending: dict[RequestId, PendingMove] = {}
-        #: Runs that probably don't complete in time where they are.
+        #: Runs that might complete only elsewhere.
         self.doubtful: list[RequestId] = []
         self.reviewed_at: Seconds = 0.0
+        #: The usual time between tokens of each server, and the time it is taken over.
+        self._usual: dict[ServerId, tuple[Seconds, Seconds]] = {}
 
     def __contains__(self, request_id: RequestId) -> bool:
         return request_id in self._pending
@@ -53,6 +59,19 @@
             for server in (item.move.run.server, item.move.target)
         }
 
+    def usual_interval(self, server: ServerId, recent: Seconds) -> Seconds:
+        """Return a server's usual time between tokens; by default the recent one."""
+        return self._usual.get(server, (recent, 0.0))[0]
+
+    def record_interval(
+        self, server: ServerId, recent: Seconds, elapsed: Seconds
+    ) -> None:
+        """Average a server's time between tokens while it works."""
+        usual, known_for = self._usual.get(server, (recent, 0.0))
+        known_for = min(USUAL_TIME, known_for + elapsed)
+        usual += (recent - usual) * min(1.0, elapsed / known_for)
+        self._usual[server] = usual, known_for
+
     def begin(
         self, move: Move, permit: Permit, target: ServerRecord, *, expires_at: Seconds
     ) -> None:
