--- a/src/amaranthferry/gateway/dispatching.py
+++ b/src/amaranthferry/gateway/dispatching.py
@@ -59,6 +59,8 @@
 PROGRESS_BYTES = 1_024
 #: Interval at which a stalled stream looks for another server.
 STALL_CHECK_PERIOD: Seconds = 0.25
+#: Time for the rest of a stopped run's stream, which its server closes by itself.
+STOPPED_STREAM_TIMEOUT: Seconds = 0.1
 MAX_EVENT_BYTES = 256 * 1024
 MIN_REDIRECT = 300
 MIN_SERVER_ERROR = 500
@@ -510,7 +512,13 @@
             report=self._report,
             clock=self._clock,
             spawn=self._spawn,
-            on_stopped=lambda: conn.give_up("The run goes on at another engine."),
+            on_stopped=lambda: self._end_stream_of(conn),
+        )
+
+    def _end_stream_of(self, conn: HttpConnection) -> None:
+        """Have a stopped run's stream end, once what is under way has been read."""
+        asyncio.get_running_loop().call_later(
+            STOPPED_STREAM_TIMEOUT, conn.give_up, "The run has been stopped."
         )
 
     def _why_unmovable(self) -> str:
--- a/src/amaranthferry/relocation/decision.py
+++ b/src/amaranthferry/relocation/decision.py
@@ -162,21 +162,19 @@
     Copies queue on the links of both engines, so that each takes part in one at a time.
     """
     taken = set(busy)
-    moves = [
-        move
-        for run in runs
-        if run.server not in taken
-        and (
-            move := best_move(run, _free(slots_for(run), taken), rules, waiting=waiting)
-        )
-    ]
+
+    def best(run: Run) -> Move | None:
+        if run.server in taken:
+            return None
+        slots = [slot for slot in slots_for(run) if slot.server not in taken]
+        return best_move(run, slots, rules, waiting=waiting)
+
     chosen = []
-    for move in sorted(moves, key=lambda move: move.stays - move.moves):
-        if taken.isdisjoint((move.run.server, move.target)):
+    moves = [move for run in runs if (move := best(run))]
+    for first in sorted(moves, key=lambda move: move.stays - move.moves):
+        # The best target may have been taken meanwhile, and another one be free.
+        move = first if first.target not in taken else best(first.run)
+        if move is not None and move.run.server not in taken:
             taken |= {move.run.server, move.target}
             chosen.append(move)
     return chosen
-
-
-def _free(slots: Iterable[Slot], taken: set[ServerId]) -> list[Slot]:
-    return [slot for slot in slots if slot.server not in taken]
