--- a/src/amaranthferry/gateway/listener.py
+++ b/src/amaranthferry/gateway/listener.py
@@ -77,7 +77,8 @@
         self._config.load()
         ip, _, port = self._address.rpartition(":")
         family = socket.AF_INET6 if ":" in ip else socket.AF_INET
-        listening = socket.socket(family, socket.SOCK_STREAM)
+        # asyncio disables Nagle's algorithm only for sockets of a named protocol.
+        listening = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
         try:
             listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             listening.bind((ip.strip("[]"), int(port)))
--- a/tests/intake/test_connection_times.py
+++ b/tests/intake/test_connection_times.py
@@ -217,3 +217,20 @@
     watch.watch()
     async with asyncio.timeout(HANG_TIME):
         await stalled.wait()
+
+
+async def test_responses_are_sent_without_nagle_s_delay():
+    options = []
+
+    async def application(scope, receive, send):
+        (protocol,) = server.listener._state.connections
+        sock = protocol.transport.get_extra_info("socket")
+        options.append(sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY))
+        await answer(scope, receive, send)
+
+    async with Server(application) as server:
+        sock = await server.connect()
+        await send(sock, REQUEST)
+        await asyncio.get_running_loop().sock_recv(sock, 1_000)
+        assert options == [1]
+        sock.close()
