--- a/src/amaranthferry/hedging/latency.py
+++ b/src/amaranthferry/hedging/latency.py
@@ -7,6 +7,7 @@
 """
 
 import math
+from collections.abc import Container
 
 import msgspec
 
@@ -32,6 +33,8 @@
 UNSEEN_DEVIATION = 0.5
 #: Least time between two evaluations of a route's histogram.
 EVALUATION_PERIOD: Seconds = 1.0
+#: Routes of services whose times are kept; the oldest entry gives way to a new one.
+MAX_ROUTES = 256
 #: Exponent of the weights at which they are scaled down again.
 MAX_EXPONENT = 50.0
 
@@ -255,6 +258,8 @@
         """Return the times of a route's runs at a service."""
         times = self._routes.get((service, route))
         if times is None:
+            if len(self._routes) >= MAX_ROUTES:
+                del self._routes[next(iter(self._routes))]
             times = self._routes[service, route] = RouteTimes(now)
         return times
 
@@ -303,7 +308,12 @@
             times = self._servers[server] = ServerTimes(now)
         return times
 
-    def retain(self, servers: "dict[ServerId, object] | frozenset[ServerId]") -> None:
+    @property
+    def server_count(self) -> int:
+        """Return how many servers have times of their own."""
+        return len(self._servers)
+
+    def retain(self, servers: Container[ServerId]) -> None:
         """Forget the servers that are not listed any more."""
         for server in [name for name in self._servers if name not in servers]:
             del self._servers[server]
--- a/src/amaranthferry/hedging/runs.py
+++ b/src/amaranthferry/hedging/runs.py
@@ -220,6 +220,9 @@
             self.model.observe(
                 dispatch.service, route, dispatch.server, run.age(now), now
             )
+            listed = self._app.state.deployment.servers
+            if self.model.server_count > len(listed):
+                self.model.retain(listed)
         self._settle(run, now)
         hedge = self.open.pop(request_id, None)
         if hedge is not None:
--- a/tests/hedging/test_decision.py
+++ b/tests/hedging/test_decision.py
@@ -3,7 +3,12 @@
 import random
 
 from amaranthferry.hedging.decision import Reason, RunningRun, decide, first_check
-from amaranthferry.hedging.latency import LatencyModel, RouteTimes, ServerTimes
+from amaranthferry.hedging.latency import (
+    MAX_ROUTES,
+    LatencyModel,
+    RouteTimes,
+    ServerTimes,
+)
 
 OTHERS = ("s1", "s2")
 NOW = 60.0
@@ -116,3 +121,14 @@
     for hour in range(100):
         times.observe(0.1, hour * 3_600.0)
     assert 0.05 < times.distribution(99 * 3_600.0).fresh().mean < 0.2
+
+
+def test_servers_and_routes_that_come_and_go_leave_no_state():
+    """Guard against memory that grows with each new incarnation of a server."""
+    model = LatencyModel()
+    for number in range(1_000):
+        model.observe("p", f"r{number}", f"s{number}", 0.1, number * 1.0)
+    assert model.server_count == 1_000
+    model.retain({"s999"})
+    assert model.server_count == 1
+    assert len(model._routes) == MAX_ROUTES
--- a/tests/hedging/test_simulation.py
+++ b/tests/hedging/test_simulation.py
@@ -72,9 +72,14 @@
     assert all(len(servers) <= 2 for servers in simulation.sent[RouteKind.SAFE])
 
 
-def test_no_permit_is_left_at_the_end():
+@pytest.mark.parametrize("failed_zone", [False, True])
+def test_no_permit_is_left_at_the_end(failed_zone):
     """Guard against slots that stay taken by runs that were swapped or cancelled."""
-    simulation = simulate(msgspec.structs.replace(WORLD, limit=0.5, slow_share=0.3))
+    world = msgspec.structs.replace(
+        WORLD, limit=0.5, slow_share=0.3, failed_zone=failed_zone, load=0.4
+    )
+    simulation = simulate(world)
+    assert sum(simulation.hedges().values()) > 0
     for host in simulation.hosts.values():
         assert not host.hedger.open
         assert not host.state.requests
