--- a/src/amaranthferry/gateway/connection.py
+++ b/src/amaranthferry/gateway/connection.py
@@ -175,7 +175,8 @@
         if self._head_bytes is None or self.transport.is_closing():
             return
         self._head_bytes += size
-        if self._head_bytes > self._limits.head_size:
+        # The piece in which a head begins may also have the end of another message.
+        if self._head_bytes > self._limits.head_size + PIECE_BYTES:
             self._refuse(HEAD_TOO_LARGE, "The head is too large.")
         elif self._head_timer is None:
             self._head_timer = self.loop.call_later(
--- a/src/amaranthferry/memory.py
+++ b/src/amaranthferry/memory.py
@@ -27,8 +27,9 @@
 KEPT_CHANGE_SHARE = 0.01
 #: Part of the limit for what is held for the connections of callers.
 CONNECTION_SHARE = 0.1
-#: Room of all connections at least, so that one head of the greatest size has some.
-MIN_CONNECTION_BYTES = 2 * MEBIBYTE
+#: Room of all connections at least, so that one head of the documented size has some:
+#: it takes 2.4 MB where its fields are as short as can be.
+MIN_CONNECTION_BYTES = 4 * MEBIBYTE
 #: Size up to which an answer never gives way. The servers' slots bound the number of
 #: such answers.
 SMALL_ANSWER_BYTES = 64 * KIBIBYTE
--- a/tests/intake/test_framing_limits.py
+++ b/tests/intake/test_framing_limits.py
@@ -56,6 +56,22 @@
         assert ran(system) == []
 
 
+async def test_head_within_the_limit_behind_other_requests_runs():
+    """Guards against bytes before a head that are counted toward it."""
+    async with limited_fleet() as system:
+        first = head(b"POST", b"/pay/x", "one", b"Content-Length: 1900\r\n")
+        padding = b"X-More: " + b"x" * (MAX_HEADER - 200) + b"\r\n"
+        second = head(b"POST", b"/pay/x", "two", FRAMING, padding)
+        assert MAX_HEADER - 100 < len(second) <= MAX_HEADER
+        data = first + b"y" * 1_900 + second + b"0\r\n\r\n"
+        ip, _, port = system.urls[0].removeprefix("http://").partition(":")
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        writer.write(data)
+        async with asyncio.timeout(10.0):
+            assert [await read_status(reader) for _ in range(2)] == [200, 200]
+        writer.close()
+
+
 async def test_trailers_over_the_limit_behind_a_running_request_cut_no_answer():
     async with limited_fleet() as system:
         for server in system.servers.values():
