--- a/tests/gateway/test_rollouts.py
+++ b/tests/gateway/test_rollouts.py
@@ -242,6 +242,8 @@
         await asyncio.sleep(1.0)
         await start(run, duration=20)
         await Load(caller, 1).run(lambda: False, limit=1.5)
+        # The decider adds the reports up five times a second.
+        await asyncio.sleep(0.5)
         address = run.metrics[0].removeprefix("http://").removesuffix("/metrics")
         runner = CliRunner()
         shown = await asyncio.to_thread(
