--- a/src/amaranthferry/cli_rollouts.py
+++ b/src/amaranthferry/cli_rollouts.py
@@ -10,7 +10,7 @@
 from rich.table import Table
 
 from .cli_hosts import HostUnreachable, Json
-from .rollout.agent import RolloutInfo
+from .rollout.info import RolloutInfo
 from .types import Seconds
 
 CALL_TIMEOUT: Seconds = 10.0
--- a/src/amaranthferry/rollout/agent.py
+++ b/src/amaranthferry/rollout/agent.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable, Coroutine, Iterable, Mapping
 from typing import Any
 
-import msgspec
 import structlog
 
 from ..catalog import Instance
@@ -15,6 +14,7 @@
 from ..types import HostId, PoolId, RequestId, RequestState, Seconds, ServerId, ShardId
 from .decider import Decider, StateStore
 from .gate import ServicePolicy, VersionGate, initial_credit, initial_fraction
+from .info import RolloutInfo
 from .messages import RolloutReport, RolloutStep
 from .orders import OrderCache, Reader, RolloutOrder, RolloutState
 from .participant import Participant, Report, silence_limit
@@ -37,33 +37,6 @@
 Spawn = Callable[[Coroutine[Any, Any, None]], object]
 
 
-class RolloutInfo(msgspec.Struct, kw_only=True):
-    """Describe one rollout as a host knows it, for operators."""
-
-    service: str
-    version: str
-    state: str
-    stage: str
-    decider: str
-    age: Seconds
-    duration: Seconds
-    step: int
-    pace: float
-    reason: str
-    canaries: tuple[str, ...] = ()
-    old_servers: int = 0
-    new_servers: int = 0
-    #: At this host: requests of the service, and those that went to the new version.
-    requests: int = 0
-    exposed: int = 0
-    #: At the decider, of all hosts that have reported.
-    hosts: int = 0
-    all_requests: int = 0
-    all_exposed: int = 0
-    #: Answers, failures and refusals by route and side.
-    evidence: dict[str, tuple[int, int, int]] = {}
-
-
 class RolloutAgent:
     """Follow the orders of rollouts at one host, and decide where it is this host's part.
 
@@ -400,47 +373,13 @@
 
     def _info(self, service: PoolId, order: RolloutOrder, now: Seconds) -> RolloutInfo:
         sides = self._sides.get(service, Sides())
-        info = RolloutInfo(
-            service=service,
-            version=order.version,
-            state=order.state or "",
-            stage="",
-            decider="",
-            age=0.0,
-            duration=order.duration,
-            step=0,
-            pace=0.0,
-            reason="",
-            old_servers=len(sides.old),
-            new_servers=len(sides.new),
-        )
         participant = self.participants.get(service)
         if participant is None:
-            return info
-        policy = participant.policy
-        info.stage, info.pace = policy.stage, policy.pace
-        info.decider = self._decider_of(service, participant, now)
-        info.age = round(participant.age(now), 3)
-        info.step, info.reason = participant.step, participant.reason
-        info.canaries = tuple(sorted(policy.canaries))
-        info.requests, info.exposed = policy.requests, policy.exposed
-        counts: Iterable[Any] = participant.evidence.counts()
-        decider = self.deciders.get(service)
-        if decider is not None:
-            reports = decider.reports.values()
-            info.hosts = len(reports)
-            info.all_requests = sum(report.requests for report in reports)
-            info.all_exposed = sum(report.exposed for report in reports)
-            counts = decider.decision.timeline.latest.values()
-        info.evidence = {
-            f"{item.route} {'new' if item.is_new else 'old'}": (
-                item.answers,
-                item.failures,
-                item.refusals,
-            )
-            for item in counts
-        }
-        return info
+            return RolloutInfo.from_order(order, sides)
+        chosen = self._decider_of(service, participant, now)
+        return RolloutInfo.from_rollout(
+            participant, sides, self.deciders.get(service), chosen, now
+        )
 
 
 def _closed(policy: ServicePolicy) -> frozenset[ServerId]:
--- a/tests/gateway/test_rollouts.py
+++ b/tests/gateway/test_rollouts.py
@@ -9,7 +9,7 @@
 from typer.testing import CliRunner
 
 from amaranthferry.cli import app
-from amaranthferry.rollout.agent import RolloutInfo
+from amaranthferry.rollout.info import RolloutInfo
 from amaranthferry.rollout.messages import RolloutStep
 from amaranthferry.standins.routed import ServerFault
 
