--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -119,6 +119,7 @@
         self._stack = stack
         self.store = MetadataStore()
         self.store_address = ""
+        self.options = None
         self.servers = {}
         self.addresses = {}
         self.hosts = []
@@ -128,6 +129,7 @@
     async def open(
         self, *, engines=2, ledgers=2, hosts=1, spec=None, options=None, **bounds
     ):
+        self.options = options
         url = await self._stack.enter_async_context(serve(self.store.app))
         self.store_address = url.removeprefix("http://")
         await self.store.put("config", "main", spec or config())
@@ -136,7 +138,7 @@
         for number in range(ledgers):
             await self.add_server("ledger", f"ledger-{number}")
         for number in range(hosts):
-            await self.add_host(f"host-{number}", options=options, **bounds)
+            await self.add_host(f"host-{number}", **bounds)
         return self
 
     async def add_server(self, service, name, **fields):
@@ -171,12 +173,12 @@
         self._stack.push_async_callback(running.stop)
         return running
 
-    async def add_host(self, name, *, options=None, **bounds):
+    async def add_host(self, name, **bounds):
         addresses = [free_address() for _ in range(4)]
         text = settings_text(
             name, store=self.store_address, addresses=addresses, **bounds
         )
-        app = Gateway.from_config(HostSettings.from_text(text), options)
+        app = Gateway.from_config(HostSettings.from_text(text), self.options)
         await app.start()
         self._stack.push_async_callback(app.stop)
         self.hosts.append(app)
--- a/tests/relocation/fleet.py
+++ b/tests/relocation/fleet.py
@@ -114,7 +114,7 @@
     options = HostOptions(relocation=RelocationOptions(enabled=True))
     async with (
         contextlib.AsyncExitStack() as stack,
-        fleet(engines=0, ledgers=0, hosts=0, spec=spec) as (system, _),
+        fleet(engines=0, ledgers=0, hosts=0, spec=spec, options=options) as (system, _),
     ):
         group = EngineGroup(handle_lifetime=moves.get("handleTtlS", 2))
         engines = []
@@ -127,7 +127,7 @@
                 "servers", engine.name, entry("engines", engine.address)
             )
             engines.append(engine)
-        await system.add_host("host-0", options=options)
+        await system.add_host("host-0")
         yield MovingFleet(system, group, engines)
 
 
