--- a/src/amaranthferry/gateway/connection.py
+++ b/src/amaranthferry/gateway/connection.py
@@ -14,10 +14,18 @@
 
 from ..config import KIBIBYTE
 from ..intake.accounting import Intake
-from ..intake.costs import connection_size
+from ..intake.costs import CONNECTION_COST, connection_size
 from ..intake.state import Cause, Port
 from ..types import Seconds
-from .flow import FLOW_STATE, ConnectionLimits, Flow, HeadTooLarge, UnreadWatch
+from .flow import (
+    FLOW_STATE,
+    ConnectionLimits,
+    Flow,
+    HeadTooLarge,
+    UnreadWatch,
+    announced_length,
+    head_without_upgrade,
+)
 
 #: Bytes that are parsed at once. The requests in them are held in parsed form, which
 #: takes some 3 KB for each, so that 113 of the shortest ones take 340 KB.
@@ -27,8 +35,11 @@
 READ_AHEAD_BYTES = 16 * KIBIBYTE
 #: Change of what is held for a connection from which on it is told.
 ACCOUNTED_BYTES = KIBIBYTE
-UPGRADE = b"upgrade"
+#: Fields of a head up to which a short one is not accounted for by itself.
+FEW_FIELDS = 32
 CONNECT = b"CONNECT"
+#: Methods whose requests hardly ever have a body, so that its length isn't looked for.
+BODILESS = frozenset((b"GET", b"HEAD"))
 MALFORMED = 400
 HEAD_TOO_LATE = 408
 HEAD_TOO_LARGE = 431
@@ -56,6 +67,7 @@
         port: Port,
     ) -> None:
         super().__init__(config=config, server_state=server_state, app_state={})
+        self.headers = []
         self._limits = limits
         self._read_buffer = read_buffer
         self._intake, self._port = intake, port
@@ -105,7 +117,7 @@
     def account(self) -> None:
         """Tell how much is held for the connection, if that has changed much."""
         size = connection_size(
-            fields=len(self.headers or ()),
+            fields=len(self.headers),
             head=self._head_bytes or 0,
             body=self._body_bytes,
             queued=len(self.pipeline),
@@ -141,6 +153,11 @@
             self._unset_keepalive_if_required()
         if self._pending or self._is_busy:
             self._pending += data
+        elif len(data) <= PIECE_BYTES:
+            self._parse_piece(data)
+            if not (self._in_body or self.pipeline or len(self.headers) > FEW_FIELDS):
+                # Nothing is pending, and little is held.
+                return
         else:
             self._pending += self._parse(data)
         self._set_read_ahead()
@@ -159,21 +176,21 @@
         begin, size = 0, len(data)
         while begin < size and not self._refused and not self._is_busy:
             end = begin + max(PIECE_BYTES, self._body_left)
-            # Most requests come in one piece, which is not copied.
-            piece = data if begin == 0 and end >= size else data[begin:end]
+            self._parse_piece(data[begin:end])
             begin = end
-            self._framing_bytes += len(piece)
-            self._feed(piece)
-            if self._in_body:
-                self._limit_framing()
-            else:
-                self._limit_head(len(piece))
         return b"" if self._refused else data[begin:]
 
+    def _parse_piece(self, piece: bytes) -> None:
+        self._framing_bytes += len(piece)
+        self._feed(piece)
+        if self._in_body:
+            self._limit_framing()
+        elif self._head_bytes is not None and not self.transport.is_closing():
+            self._limit_head(len(piece))
+
     def _limit_head(self, size: int) -> None:
         """Count the bytes of a head that has not ended, and limit its time."""
-        if self._head_bytes is None or self.transport.is_closing():
-            return
+        assert self._head_bytes is not None
         self._head_bytes += size
         # The piece in which a head begins may also have the end of another message.
         if self._head_bytes > self._limits.head_size + PIECE_BYTES:
@@ -189,9 +206,7 @@
     def _limit_framing(self) -> None:
         """Limit the bytes of one chunk's head, and of all trailers."""
         if self._framing_bytes > self._limits.head_size and not self._refused:
-            self._refuse(
-                HEAD_TOO_LARGE, "The trailers or chunk extensions are too large."
-            )
+            self._refuse(HEAD_TOO_LARGE, "The trailers or extensions are too large.")
 
     def _set_read_ahead(self) -> None:
         """Stop reading while enough bytes wait to be parsed."""
@@ -204,6 +219,7 @@
         if self.flow.write_paused and not self.transport.is_closing():
             self._waits_for_reader = True
             self._unread.watch()
+            self.account()
         else:
             self._advance()
 
@@ -236,7 +252,8 @@
             self._set_read_ahead()
             if was_full and not self._flow.has_enough:
                 self.flow.resume_reading()
-        self.account()
+        if self._holding.size > CONNECTION_COST:
+            self.account()
 
     def _end_unread(self) -> None:
         if self._waits_for_reader or self.transport.is_closing():
@@ -261,7 +278,8 @@
                 if self.parser.get_method() == CONNECT:
                     self._refuse(MALFORMED, "CONNECT is not supported.")
                     return
-                data = self._without_upgrade() + data[exc.args[0] :]
+                head = head_without_upgrade(self.parser, self.url, self.headers)
+                data = head + data[exc.args[0] :]
                 self.parser = httptools.HttpRequestParser(self)
             except httptools.HttpParserError as exc:
                 if isinstance(exc.__context__, HeadTooLarge):
@@ -272,15 +290,6 @@
             else:
                 return
 
-    def _without_upgrade(self) -> bytes:
-        """Return the head of the last parsed request without its Upgrade header."""
-        version = self.parser.get_http_version().encode("ascii")
-        lines = [b"%b %b HTTP/%b" % (self.parser.get_method(), self.url, version)]
-        lines += [
-            b"%b: %b" % (name, value) for name, value in self.headers if name != UPGRADE
-        ]
-        return b"\r\n".join(lines) + b"\r\n\r\n"
-
     def _refuse(self, status: int, problem: str) -> None:
         """Answer what is no request, unless another answer is written, and close.
 
@@ -362,7 +371,8 @@
             self._in_body = True
             self._body_bytes = 0
             self._framing_bytes = 0
-            self._body_left = _announced_length(self.headers)
+            if self.parser.get_method() not in BODILESS:
+                self._body_left = announced_length(self.headers)
 
     def on_chunk_header(self) -> None:
         """Count the bytes of the next chunk's framing anew."""
@@ -387,10 +397,3 @@
                 self._intake.begin(self._holding)
             elif self.timeout_keep_alive_task is None:
                 self._arm_idle(self.timeout_keep_alive)
-
-
-def _announced_length(fields: list[tuple[bytes, bytes]]) -> int:
-    for name, value in fields:
-        if name == b"content-length" and value.isdigit():
-            return int(value)
-    return 0
--- a/src/amaranthferry/gateway/flow.py
+++ b/src/amaranthferry/gateway/flow.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+import httptools
 import msgspec
 from uvicorn.protocols.http.flow_control import FlowControl
 
@@ -13,6 +14,8 @@
 
 #: Key of a request's `FlowState` in its ASGI state.
 FLOW_STATE = "flow"
+UPGRADE = b"upgrade"
+Fields = list[tuple[bytes, bytes]]
 
 
 class FlowState(Protocol):
@@ -83,3 +86,21 @@
             self._on_stalled()
         else:
             self.watch()
+
+
+def announced_length(fields: Fields) -> int:
+    """Return the length that a head names for its body, or 0 without one."""
+    for name, value in fields:
+        if name == b"content-length" and value.isdigit():
+            return int(value)
+    return 0
+
+
+def head_without_upgrade(
+    parser: httptools.HttpRequestParser, url: bytes, fields: Fields
+) -> bytes:
+    """Return the head of the last parsed request without its Upgrade header."""
+    version = parser.get_http_version().encode("ascii")
+    lines = [b"%b %b HTTP/%b" % (parser.get_method(), url, version)]
+    lines += [b"%b: %b" % (name, value) for name, value in fields if name != UPGRADE]
+    return b"\r\n".join(lines) + b"\r\n\r\n"
