--- a/tests/gateway/test_options.py
+++ b/tests/gateway/test_options.py
@@ -28,7 +28,14 @@
 
 @pytest.mark.parametrize(
     "text",
-    ["[heding]\n", "[hedging]\nlimits = 0.1\n", "[hedging]\nlimit = much\n"],
+    [
+        "[heding]\n",
+        "[hedging]\nlimits = 0.1\n",
+        "[hedging]\nlimit = much\n",
+        "[intake]\nmemory_share = 1.5\n",
+        "[intake]\ndescriptor_share = 0\n",
+        "[intake]\nunread_s = -1\n",
+    ],
 )
 def test_errors_name_the_file_and_the_line(tmp_path, text):
     path = write(tmp_path, text)
