--- a/tests/gateway/test_options.py
+++ b/tests/gateway/test_options.py
@@ -35,6 +35,9 @@
         "[hedging]\nlimit = -0.1\n",
         "[hedging]\nlimit = 2\n",
         "[hedging]\nlimit = nan\n",
+        "[intake]\nmemory_share = 1.5\n",
+        "[intake]\ndescriptor_share = 0\n",
+        "[intake]\nunread_s = -1\n",
     ],
 )
 def test_errors_name_the_file_and_the_line(tmp_path, text):
