--- a/tests/hedging/test_hedged_requests.py
+++ b/tests/hedging/test_hedged_requests.py
@@ -162,10 +162,12 @@
     async with fleet() as (running, caller):
         for server in running.servers.values():
             server.processing_time = 0.6
+        # On a busy machine, a request before this one may have got a second run.
+        before = second_runs(running)
         attempt, status, _, _ = await caller.send("POST", "/pay/x", data=b"1")
         assert status == 200
         assert len(running.servers_that_ran(attempt)) == 1
-        assert second_runs(running) == {}
+        assert second_runs(running) == before
 
 
 async def test_late_bytes_of_the_other_run_reach_no_caller():
