--- a/src/amaranthferry/contention/sharing.py
+++ b/src/amaranthferry/contention/sharing.py
@@ -116,7 +116,7 @@
     if not coordinator.serves_all:
         coordinator.serve_all(now)
         order.restart(now)
-    coordinator.is_deaf = not _hears_others(state)
+    coordinator.hears_no_host = not _hears_others(state)
     _reserve_slots(coordinator, now)
     demand = len(coordinator.permits) + len(coordinator.queue)
     order.measure(demand, coordinator.slots(), now)
--- a/src/amaranthferry/coordinator.py
+++ b/src/amaranthferry/coordinator.py
@@ -111,7 +111,7 @@
         #: Whether it decides for all hosts though these decide locally at other times.
         self.serves_all = False
         #: Whether its host hears no other one, and so shouldn't be waited for.
-        self.is_deaf = False
+        self.hears_no_host = False
         self._quotas: Mapping[WorkspaceId, Quota] = {}
         self._shard_count = 1
         self._shard_servers: tuple[BackendServer, ...] = ()
@@ -251,7 +251,7 @@
 
     def serve_own(self) -> None:
         """Decide for this host alone again."""
-        self.serves_all = self.is_deaf = False
+        self.serves_all = self.hears_no_host = False
         self._unregistered.clear()
         self._apply_shares()
 
@@ -538,7 +538,7 @@
 
     def queue_notices(self, hosts: Collection[HostId], now: Seconds) -> list[Effect]:
         """Return the notices that are due to those hosts that have waiting requests."""
-        if self._rules.notice_interval <= 0 or self.is_deaf:
+        if self._rules.notice_interval <= 0 or self.hears_no_host:
             return []
         interval = notice_interval(self._rules, len(self.hosts))
         waiting = sorted(set(hosts) & set(self.queue.hosts()))
@@ -553,7 +553,7 @@
         A pool that each host decides for itself has no waits in common.
         """
         local = self._rules.decided_locally and not self.serves_all
-        if local or self.is_deaf or not self.has_role:
+        if local or self.hears_no_host or not self.has_role:
             return []
         if now < self._next_advert_at or not self.hosts:
             return []
--- a/src/amaranthferry/rollout/decider.py
+++ b/src/amaranthferry/rollout/decider.py
@@ -149,7 +149,7 @@
             found: RolloutOrder | None = await self._store.write(self.order, state)
         except (VersionConflict, AnswerLost) as exc:
             self._log_failure(state, exc)
-            found = await self._read_back()
+            found = await self._read_back(state)
         except AmaranthferryError as exc:
             # Nothing has been written.
             self._log_failure(state, exc)
@@ -169,12 +169,13 @@
             self.order = found
             observe(found)
 
-    async def _read_back(self) -> RolloutOrder | None:
+    async def _read_back(self, state: RolloutState) -> RolloutOrder | None:
         """Read the order until the store answers, since a write may have taken effect."""
         while True:
             try:
                 return await self._store.read(self.order)
-            except AmaranthferryError:
+            except AmaranthferryError as exc:
+                self._log_failure(state, exc)
                 await asyncio.sleep(WRITE_PAUSE)
 
     def _log_failure(self, state: RolloutState, exc: AmaranthferryError) -> None:
--- a/src/amaranthferry/rollout/judging.py
+++ b/src/amaranthferry/rollout/judging.py
@@ -11,7 +11,7 @@
 from .messages import RouteCounts
 
 #: Chance at which a good version may look bad, for one test of many, and for the last.
-#: A rollout of 12 s makes some thousand tests, which depend on each other.
+#: A rollout makes thousands of tests, which depend on each other.
 CHANCE_OF_MANY = 1e-5
 CHANCE_OF_LAST = 5e-3
 #: Factor on the chance where times are judged, since they are judged in several ways.
@@ -36,7 +36,7 @@
 )
 #: Answers of the old version that its median needs.
 MIN_OLD_ANSWERS = 8
-#: Length of a slice of the evidence. A server may be slow for 0.6 s at a time without
+#: Length of a slice of the evidence. A server may be slow for a moment without
 #: being bad, so the two worst adjacent slices don't count where times are judged.
 SLICE: Seconds = 0.5
 #: Answers of one server that are slow for the same reason, on average: a slow moment takes
