Log the configuration that admits a request, and its age

request.dispatched has the version and its age at the admission, reader.stood_in the age that was reached before a host read in place of the readers, and amaranthferry_admission_state_age_seconds counts all admissions.

--- a/src/amaranthferry/gateway/decisions.py
+++ b/src/amaranthferry/gateway/decisions.py
@@ -249,7 +249,7 @@
         coordinator=effect.coordinator,
         server=effect.server,
         reason=effect.reason,
-        age=_rounded(effect.age),
+        age=rounded(effect.age),
     )
 
 
@@ -261,7 +261,7 @@
         coordinator=effect.coordinator,
         decider=effect.decider,
         cause=effect.cause,
-        silent=_rounded(effect.silent),
+        silent=rounded(effect.silent),
         waiting=effect.waiting,
     )
 
@@ -272,12 +272,13 @@
         LogEvent.FALLBACK_ENDED,
         shard=effect.shard,
         coordinator=effect.coordinator,
-        lasted=_rounded(effect.lasted),
+        lasted=rounded(effect.lasted),
         waiting=effect.waiting,
     )
 
 
-def _rounded(seconds: Seconds | None) -> Seconds | None:
+def rounded(seconds: Seconds | None) -> Seconds | None:
+    """Return a time in milliseconds' precision, for log lines."""
     return None if seconds is None else round(seconds, 3)
 
 
@@ -317,7 +318,7 @@
             LogEvent.SERVER_BACKED_OFF,
             shard=effect.shard,
             server=effect.server,
-            duration=_rounded(effect.duration),
+            duration=rounded(effect.duration),
             asker=effect.host,
             request_id=effect.request_id,
             skipped=skipped,
@@ -341,7 +342,7 @@
             shard=effect.shard,
             server=effect.server,
             asker=effect.host,
-            age=_rounded(effect.age),
+            age=rounded(effect.age),
             first_token_seen=effect.first_token_seen,
             skipped=skipped,
         )
--- a/src/amaranthferry/gateway/dispatching.py
+++ b/src/amaranthferry/gateway/dispatching.py
@@ -45,6 +45,7 @@
     RequestId,
     Seconds,
     ServerId,
+    SettingsVersion,
     Tokens,
     WorkspaceId,
 )
@@ -90,6 +91,9 @@
     deadline: Seconds
     event_tokens: Tokens = 1
     digest: RequestDigest = RequestDigest(0)
+    #: The configuration that admitted it, and the age of the read behind that.
+    version: SettingsVersion = SettingsVersion(0)
+    state_age: Seconds | None = None
 
     @property
     def streaming(self) -> bool:
--- a/src/amaranthferry/gateway/edge.py
+++ b/src/amaranthferry/gateway/edge.py
@@ -183,6 +183,8 @@
             self._check_current(Statement.UNKNOWN_ROUTE, arrived)
             raise _unknown_route_error()
         subscriber = self._subscriber(route, params, arrived)
+        version = route_table.catalog.version
+        state_age = self._app.freshness.age(self._app.clock())
         service = route.service_for(params.attempt)
         routed_service = route_table.catalog.services.get(service)
         if routed_service is None:
@@ -221,7 +223,11 @@
                 body=body,
                 key=self._app.peer_key,
             ),
+            version=version,
+            state_age=state_age,
         )
+        if state_age is not None:
+            self._app.telemetry.admission_age.observe(state_age)
         engine = routed_service.engine
         models = engine.models if engine else ()
         return call, _arrival(call, service, subscriber, models)
--- a/src/amaranthferry/gateway/log_events.py
+++ b/src/amaranthferry/gateway/log_events.py
@@ -68,7 +68,7 @@
     READER_SILENT = "reader.silent"  # kind, reader
     UPDATE_NOT_SENDABLE = "update.not_sendable"  # kind, problem
     UPDATE_UNREADABLE = "update.unreadable"  # kind, problem
-    READER_STOOD_IN = "reader.stood_in"  # kind, readers
+    READER_STOOD_IN = "reader.stood_in"  # kind, readers, age: of the state before
     PEERS_CHANGED = "peers.changed"  # hosts, draining
     PEER_LOST = "peer.lost"  # peer
     COORDINATORS_CHANGED = "coordinators.changed"  # coordinators, fallbacks
@@ -105,7 +105,8 @@
     # attempt, code, status, version, belief_age, revision, source, store_lost: the
     # configuration it was judged by, and the host that confirmed it ("" for the store)
     REQUEST_REFUSED = "request.refused"
-    # request_id, route, workspace, server, run, waited, decided_by
+    # request_id, route, workspace, server, run, waited, decided_by, version, state_age:
+    # the configuration that admitted it, and the age of the read behind that
     REQUEST_DISPATCHED = "request.dispatched"
     # request_id, route, server, runs, ages, framing, closed_by_peer, partial_event,
     # server_limit
--- a/src/amaranthferry/gateway/performer.py
+++ b/src/amaranthferry/gateway/performer.py
@@ -61,6 +61,7 @@
     log_return,
     log_signal,
     log_trial,
+    rounded,
 )
 from .exchange import RoutedExchange
 from .log_events import LogEvent
@@ -230,6 +231,8 @@
         run=exchange.dispatches,
         waited=round(waited, 4),
         decided_by=decided_by,
+        version=exchange.call.version,
+        state_age=rounded(exchange.call.state_age),
     )
     hedger = app.hedger
     run = hedger.new_run(exchange) if hedger and hedger.watches(req) else None
--- a/src/amaranthferry/gateway/telemetry.py
+++ b/src/amaranthferry/gateway/telemetry.py
@@ -136,6 +136,11 @@
         self.answer = Histogram(
             "answer_seconds", "From arrival to the whole answer.", ("route",)
         )
+        self.admission_age = Histogram(
+            "admission_state_age_seconds",
+            "Age of the configuration that admitted a request.",
+            (),
+        )
         self.wait = Histogram(
             "permit_wait_seconds", "From arrival to the dispatch.", ("route",)
         )
@@ -183,7 +188,12 @@
             for labels, value in counter.values.items():
                 family.add_metric(labels, value)
             yield family
-        for histogram in (telemetry.first_byte, telemetry.answer, telemetry.wait):
+        for histogram in (
+            telemetry.first_byte,
+            telemetry.answer,
+            telemetry.wait,
+            telemetry.admission_age,
+        ):
             histogram_family = HistogramMetricFamily(
                 PREFIX + histogram.name, histogram.text, labels=histogram.labels
             )
--- a/src/amaranthferry/replica/store_sync.py
+++ b/src/amaranthferry/replica/store_sync.py
@@ -354,12 +354,15 @@
                 return succeeded
         self._pace.record_read(boot_time(), hosts=hosts)
         self._unasked_until = 0.0
-        before = self._state.revision or 0
+        before, age = self._state.revision or 0, self._state.freshness.age(boot_time())
         succeeded = await self._reader.read()
         if succeeded and not isolated:
             self._stand_in_until = boot_time() + STAND_IN_TIME
             _log.info(
-                LogEvent.READER_STOOD_IN, kind=self._state.kind, readers=self._readers
+                LogEvent.READER_STOOD_IN,
+                kind=self._state.kind,
+                readers=self._readers,
+                age=None if age is None else round(age, 3),
             )
             self._broadcast(before)
         return succeeded
--- a/tests/gateway/test_telemetry.py
+++ b/tests/gateway/test_telemetry.py
@@ -4,7 +4,7 @@
 import structlog
 
 from amaranthferry.fallback import turn_away
-from amaranthferry.gateway import edge
+from amaranthferry.gateway import edge, performer
 from amaranthferry.gateway.telemetry import (
     MAX_LABEL_SETS,
     OTHER_LABEL,
@@ -169,3 +169,16 @@
     async with asyncio.timeout(5):
         while not condition():
             await asyncio.sleep(0.02)
+
+
+async def test_dispatch_is_logged_with_the_configuration_that_admitted_it(monkeypatch):
+    async with fleet() as (system, caller):
+        log = structlog.testing.CapturingLogger()
+        monkeypatch.setattr(performer, "_log", log)
+        await caller.send("GET", "/look/x")
+        text = await scrape(system)
+    (call,) = [item for item in log.calls if item.args == ("request.dispatched",)]
+    line = call.kwargs
+    assert line["version"] == 1
+    assert 0.0 <= line["state_age"] < system.hosts[0].age_budget.denial_age
+    assert 'admission_state_age_seconds_bucket{le="+Inf"} 1.0' in text
