Read the store at a limited age, whatever a host's turn is

What callers saw: requests were run as an older version says (a dropped route, a dropped key) at a host that reached the store all the while, for longer than the bound on changes after the newer version had been acknowledged (CONFIG).

Cause: hosts that hear no current reader take turns at reading the store, 20 reads a second in all. The period of a turn follows from the number of hosts, 6.85 s with 137, as if all of them reached the store. Where most don't, the few that do wait for a turn that comes after the bound, and run what arrives by the version that they have.

Why this works: nobody can know how many hosts still reach the store, so a host doesn't leave its own state to turns that may come too late. Between 0.8 and 7/8 of the bound, drawn at random, each host reads, and then again once a bound. With younger state the turns stay as they were, so that the first host that succeeds usually spares the others.

In an outage of the store 370 hosts now make at most 185 reads a second of a kind instead of 20. test_many_hosts_share_one_rate keeps its bound for hosts with young state; the new rate has a test of its own.

--- a/src/amaranthferry/replica/budget.py
+++ b/src/amaranthferry/replica/budget.py
@@ -66,6 +66,11 @@
         """Return the age above which a reader's state isn't taken as current."""
         return self.bound * UPDATE_SHARE
 
+    @property
+    def unheard_ages(self) -> tuple[Seconds, Seconds]:
+        """Return the ages between which a host that hears no reader reads itself."""
+        return self.update_age, self.denial_age
+
     @property
     def denial_age(self) -> Seconds:
         """Return the age above which nothing is denied for what the state lacks."""
--- a/src/amaranthferry/replica/store_sync.py
+++ b/src/amaranthferry/replica/store_sync.py
@@ -33,6 +33,8 @@
 
 READER_COUNT = 2
 ANSWER_TIMEOUT: Seconds = 0.25
+#: Longest time for requests to all sources: to the first one, then to the others.
+MAX_ASKING_TIME: Seconds = 2 * ANSWER_TIMEOUT
 #: Hosts that are asked together for the version in force, the time for an answer, and
 #: the time that the others get after the first one.
 MAX_ASKED = 4
@@ -118,7 +120,7 @@
         self._wake = asyncio.Event()
         self._read_needed = False
         self._read_spread: Seconds = 0.0
-        self._pace = ReadPace()
+        self._pace = ReadPace(self._budget)
         self._stand_in_until: Seconds = 0.0
         self._stand_ins: dict[HostId, Seconds] = {}
         self._forwarded: dict[HostId, Position] = {}
@@ -345,16 +347,22 @@
     async def _read_at_pace(self, *, isolated: bool) -> bool:
         """Read the store in this host's turn, and stand in for the readers."""
         hosts = 1 if isolated else len(self._others) + 1
-        left = self._pace.time_left(boot_time(), hosts=hosts)
+        now = boot_time()
+        age = self._state.freshness.age(now)
+        left = self._pace.time_left(now, hosts=hosts, age=age)
         if left:
             position, period = self._state.position, self._budget.request_period
-            succeeded = await self._wait_for_broadcast(min(left, period))
+            # Silent sources would be asked until after the read is due.
+            asks_again = left > period + MAX_ASKING_TIME
+            succeeded = await self._wait_for_broadcast(period if asks_again else left)
             heard = self._wake.is_set() or self._state.position != position
-            if heard or left > period:
+            if heard or asks_again:
                 return succeeded
-        self._pace.record_read(boot_time(), hosts=hosts)
+        now = boot_time()
+        age = self._state.freshness.age(now)
+        self._pace.record_read(now, hosts=hosts)
         self._unasked_until = 0.0
-        before, age = self._state.revision or 0, self._state.freshness.age(boot_time())
+        before = self._state.revision or 0
         succeeded = await self._reader.read()
         if succeeded and not isolated:
             self._stand_in_until = boot_time() + STAND_IN_TIME
--- a/tests/gateway/test_changes_in_time.py
+++ b/tests/gateway/test_changes_in_time.py
@@ -5,6 +5,7 @@
 import msgspec
 import pytest
 
+from amaranthferry.replica import read_pace
 from amaranthferry.replica.freshness import boot_time
 from amaranthferry.standins.metadata import StoreFault
 
@@ -29,6 +30,13 @@
     return [names[host] for host in first.readers]
 
 
+class LatestTurns:
+    """Draw the largest number."""
+
+    Random = staticmethod(lambda: LatestTurns)
+    uniform = staticmethod(max)
+
+
 async def until(condition, *, seconds=10):
     async with asyncio.timeout(seconds):
         while not condition():
@@ -182,3 +190,22 @@
         caller = Caller(system)
         assert (await caller.send("GET", "/look/x", key=KEY))[1] == 401
         assert (await caller.send("GET", "/look/x", key="another"))[1] == 200
+
+
+async def test_no_dropped_route_runs_late_at_the_only_host_that_reaches_the_store(
+    monkeypatch,
+):
+    # Five hosts take turns as rarely as 137 do, and this one's is the latest.
+    monkeypatch.setattr(read_pace, "FLEET_READ_RATE", 5 / (137 / 20.0))
+    monkeypatch.setattr(read_pace, "random", LatestTurns)
+    async with changing_fleet(hosts=5) as system:
+        reaching = next(n for n in range(5) if n not in readers(system))
+        async with system.judged(hosts=[reaching]):
+            await asyncio.sleep(4.5)
+            for number, view in enumerate(system.views):
+                if number != reaching:
+                    view.fault = StoreFault.SILENT
+            await asyncio.sleep(7.0)
+        assert system.late_runs(APPLY_BOUND) == 0
+        assert system.late_denials == 0
+        assert system.served_share > 0.9
--- a/tests/replica/replica_fleet.py
+++ b/tests/replica/replica_fleet.py
@@ -312,6 +312,31 @@
     return fleet.findings
 
 
+async def play_with_few_hosts_at_the_store(seed, *, hosts, reaching, fault):
+    """Have all hosts but a few lose the store while versions change."""
+    rng = random.Random(seed)
+    fleet = ReplicaFleet(hosts, rng)
+    fleet.store.put("config", "main", 0)
+    for host in fleet.hosts:
+        fleet.start(host)
+    await asyncio.sleep(2 * CONTACT_TIME)
+    readers = fleet.syncs[fleet.hosts[0], "config"].readers
+    others = [host for host in fleet.hosts if host not in readers]
+    kept = rng.sample(others, reaching)
+    tasks = [
+        asyncio.ensure_future(fleet.inject(host, fault, 8.0))
+        for host in fleet.hosts
+        if host not in kept
+    ]
+    for _ in range(12):
+        await asyncio.sleep(rng.uniform(0.3, 0.7))
+        tasks.append(asyncio.ensure_future(fleet.put_version()))
+    await asyncio.gather(*tasks)
+    for host in fleet.hosts:
+        fleet.stop(host)
+    return fleet.findings
+
+
 def use_virtual_time(monkeypatch):
     """Have the synchronization read the clock of the running loop."""
     for module in (store_sync, watching):
