Complete an unframed early answer only once its request has been read

A server answered a long upload at once with a 200 without a length, sent part of its body, ended its side of the connection and reset it while the upload was still being written.

Cause: an answer without a length was complete at the end of the server's side of the connection. A reset that follows it was not looked for, since by then nothing more was read.

Why this works: as long as bytes of the request are not acknowledged, the server may still reset the connection, so the answer is completed once they are, and fails on a reset or after 1 s. A server that reads on in that time, as one does that closes in order, has its answer delivered as before.

--- a/src/amaranthferry/http_connection.py
+++ b/src/amaranthferry/http_connection.py
@@ -1,9 +1,12 @@
 """Send HTTP/1.1 requests over a connection, one at a time."""
 
 import asyncio
+import fcntl
 import re
 import select
 import socket
+import struct
+import termios
 from collections import deque
 from collections.abc import Callable, Iterable
 from enum import StrEnum
@@ -30,6 +33,10 @@
 MIN_FINAL_STATUS = 200
 #: Time without acknowledgement of sent data before a connection is closed.
 UNACKNOWLEDGED_TIMEOUT: Seconds = 3.0
+#: Time in which a server reads the rest of a request after the end of its answer, and
+#: the interval at which that is checked.
+REST_TIMEOUT: Seconds = 1.0
+REST_CHECK_PERIOD: Seconds = 0.01
 
 
 #: What ends the head of an answer.
@@ -207,11 +214,46 @@
             milliseconds = int(UNACKNOWLEDGED_TIMEOUT * 1_000)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
 
-    def eof_received(self) -> None:
-        """Complete an answer that has no other end than its connection's orderly end."""
+    def eof_received(self) -> bool:
+        """Complete an answer that has no other end than its connection's orderly end.
+
+        If it comes before the server has read the request, a reset may follow, by which
+        an answer that was broken off is told from a whole one.
+        """
         self.closed_by_peer = True
-        if self._start is not None and not self._framed:
+        if self._start is None or self._framed:
+            return False
+        if self._unread_request_bytes():
+            self._check_rest(self._loop.time() + REST_TIMEOUT)
+            return True
+        self._complete = True
+        return False
+
+    def _unread_request_bytes(self) -> int:
+        """Return how much of the request the server's side has not acknowledged."""
+        if self._transport is None:
+            return 0
+        unsent = self._transport.get_write_buffer_size()
+        sock = self._transport.get_extra_info("socket")
+        if unsent or sock is None:
+            return unsent
+        size = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+        return int(struct.unpack("i", size)[0])
+
+    def _check_rest(self, until: Seconds) -> None:
+        """Complete the answer once its request has been read, or fail it."""
+        if self._transport is None or self._error is not None:
+            return
+        sock = self._transport.get_extra_info("socket")
+        if sock is not None and sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            self.give_up("The connection was reset while the request was sent.")
+        elif not self._unread_request_bytes():
             self._complete = True
+            self._wake()
+        elif self._loop.time() >= until:
+            self.give_up("The answer ended before the request had been read.")
+        else:
+            self._loop.call_later(REST_CHECK_PERIOD, self._check_rest, until)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail an answer that is not complete."""
