Take an answer with an impossible status for broken

What callers saw: an answer of status 000 was passed over as an informational one. The body that came with it was joined to the answer that followed on the connection, and the caller got both as one with status 200 (MIXED). With 600 or 999 the caller's connection was closed without an answer, since no status line can be written for them.

Cause: every status below 200 counted as informational, and none was refused.

Evidence: test_early_answers.py. On the code before, the cases of 600 and 999 get no answer, and the body of a 000 answer arrives with the 200 that follows; 000 and 099 alone ended as broken, since no final answer came.

Why this works: RFC 9110 knows statuses from 100 to 599 only. Everything else is a broken answer: it is repeated where that is allowed, or the caller gets 502.

--- a/src/amaranthferry/http_connection.py
+++ b/src/amaranthferry/http_connection.py
@@ -31,6 +31,8 @@
 MAX_BODY_PARTS = MAX_BODY_BYTES // 256
 #: Answers with lower statuses are informational: the final one follows.
 MIN_FINAL_STATUS = 200
+#: Statuses that an answer can have.
+MIN_STATUS, MAX_STATUS = 100, 599
 #: Time without acknowledgement of sent data before a connection is closed.
 UNACKNOWLEDGED_TIMEOUT: Seconds = 3.0
 #: Time in which a server reads the rest of a request after the end of its answer, and
@@ -470,6 +472,9 @@
         if self._complete:
             return
         status = self._parser.get_status_code()
+        if not MIN_STATUS <= status <= MAX_STATUS:
+            self._fail(f"No answer has the status {status:03}.")
+            return
         self._informational = status < MIN_FINAL_STATUS
         if self._informational:
             self._headers.clear()
--- a/tests/gateway/test_early_answers.py
+++ b/tests/gateway/test_early_answers.py
@@ -105,3 +105,21 @@
     async with early_fleet(end) as caller:
         _, status, _, body = await caller.send("POST", "/pay/x", data=UPLOAD)
     assert (status, body) == (200, PART)
+
+
+@pytest.mark.parametrize("framing", [b"", b"Content-Length: 14\r\n"])
+@pytest.mark.parametrize("status", [b"000 None", b"099 None", b"600 None", b"999 None"])
+async def test_answer_with_an_impossible_status_reaches_no_caller(status, framing):
+    async with early_fleet(End.READ, status=status, framing=framing) as caller:
+        _, found, headers, body = await caller.send("POST", "/pay/x", data=b"1")
+    assert found == 502
+    assert "X-Amaranthferry-Server-Signature" not in headers
+    assert PART not in body
+
+
+async def test_body_of_an_impossible_status_is_no_part_of_the_next_answer():
+    final = b"HTTP/1.1 200 OK\r\nX-Amaranthferry-Server-Signature: s\r\n"
+    framing = b"Content-Length: 4\r\n\r\nnone" + final + b"Content-Length: 14\r\n"
+    async with early_fleet(End.READ, status=b"000 None", framing=framing) as caller:
+        _, status, _, _ = await caller.send("POST", "/pay/x", data=b"1")
+    assert status == 502
