Wait for the connections of early servers in their tests

The servers of test_early_answers.py were left open when a test ended, which warned of a closed event loop. The end of each test waits for them, for two seconds at most.

--- a/tests/gateway/test_early_answers.py
+++ b/tests/gateway/test_early_answers.py
@@ -36,9 +36,18 @@
 
     def __init__(self, end, status=b"200 OK", framing=b""):
         self._end, self._status, self._framing = end, status, framing
-        self.closed = asyncio.Event()
+        self.open_connections = 0
 
     async def serve(self, reader, writer):
+        self.open_connections += 1
+        try:
+            with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+                await self._answer(reader, writer)
+        finally:
+            writer.close()
+            self.open_connections -= 1
+
+    async def _answer(self, reader, writer):
         attempt, length = b"", 0
         while (line := await reader.readline()).strip():
             name, _, value = line.partition(b":")
@@ -51,12 +60,9 @@
         else:
             writer.transport.pause_reading()
         head = HEAD % (self._status, attempt)
-        with contextlib.suppress(ConnectionError):
-            writer.write(head + self._framing + b"\r\n" + PART)
-            await asyncio.sleep(0.05)
-            await self._finish(reader, writer, length)
-        writer.close()
-        self.closed.set()
+        writer.write(head + self._framing + b"\r\n" + PART)
+        await asyncio.sleep(0.05)
+        await self._finish(reader, writer, length)
 
     async def _finish(self, reader, writer, length):
         if self._end in (End.HALF_CLOSED, End.LEFT_OPEN, End.READ_ON):
@@ -88,6 +94,9 @@
             await asyncio.sleep(0.01)
         yield caller
     server.close()
+    async with asyncio.timeout(2.0):
+        while early.open_connections:
+            await asyncio.sleep(0.01)
 
 
 @pytest.mark.parametrize("end", [End.RESET, End.CLOSED, End.HALF_CLOSED, End.LEFT_OPEN])
