Await the reading of a request at unframed answers of the own interface too

Cause: the client library closes its socket at the end of the server's side, and reports an orderly end, whatever follows.

Why this works: a duplicate of the socket outlives the library's, and tells whether the request is acknowledged or the connection reset. Only answers that nothing but the connection's end completes are watched. What asks the kernel is shared with the other connection's code, and the early server with its tests.

--- a/src/amaranthferry/engine.py
+++ b/src/amaranthferry/engine.py
@@ -3,9 +3,11 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from enum import Enum
+from typing import Self
 
 import aiohttp
 import msgspec
+from aiohttp.connector import Connection
 
 from .config import BackendServer
 from .events import (
@@ -18,7 +20,12 @@
 )
 from .exceptions import DECODE_ERRORS
 from .exchange import AnswerHead, Exchange
-from .http_connection import CHECK_TIMEOUT, ServerProcess, check_process
+from .http_connection import (
+    CHECK_TIMEOUT,
+    ServerProcess,
+    check_process,
+    is_request_read,
+)
 from .types import PoolKind, Seconds, Tokens
 
 CONNECT_TIMEOUT: Seconds = 2.0
@@ -241,11 +248,15 @@
         self._exchange.begin(AnswerHead(answer.status, forwarded))
 
     async def _read(self, answer: aiohttp.ClientResponse) -> None:
-        closed = _unframed_end(answer)
-        async for chunk in answer.content.iter_any():
-            await self._process_chunk(chunk)
-        if closed is not None and (not closed.done() or closed.exception()):
-            raise _Truncated
+        end = _UnframedEnd.of(answer)
+        try:
+            async for chunk in answer.content.iter_any():
+                await self._process_chunk(chunk)
+            if end is not None and not await end.is_orderly():
+                raise _Truncated
+        finally:
+            if end is not None:
+                end.release()
         if self._needs_end_marker() and not self._has_end_marker():
             raise _Truncated
 
@@ -351,18 +362,38 @@
         return body.usage or _Usage()
 
 
-def _unframed_end(answer: aiohttp.ClientResponse) -> asyncio.Future[None] | None:
-    """Return the end of the connection of an answer that only this end completes.
+class _UnframedEnd:
+    """Watch the end of the connection of an answer that only this end completes.
 
-    The client library also completes such an answer when its connection is reset.
+    The client library also completes such an answer when its connection is reset. It
+    closes its socket at the end of the server's side, so a duplicate is watched.
     """
-    if answer.method == "HEAD" or answer.status in BODILESS_STATUSES:
-        return None
-    if answer.headers.keys() & {"Content-Length", "Transfer-Encoding"}:
-        return None
-    if answer.connection is None or answer.connection.protocol is None:
-        raise _Truncated
-    return answer.connection.protocol.closed
+
+    def __init__(self, connection: Connection) -> None:
+        assert connection.protocol is not None and connection.transport is not None
+        self._closed = connection.protocol.closed
+        self._sock = connection.transport.get_extra_info("socket").dup()
+
+    @classmethod
+    def of(cls, answer: aiohttp.ClientResponse) -> Self | None:
+        """Return the end that completes an answer, or None for one with framing."""
+        if answer.method == "HEAD" or answer.status in BODILESS_STATUSES:
+            return None
+        if answer.headers.keys() & {"Content-Length", "Transfer-Encoding"}:
+            return None
+        if answer.connection is None or answer.connection.transport is None:
+            raise _Truncated
+        return cls(answer.connection)
+
+    async def is_orderly(self) -> bool:
+        """Return whether the connection ended without a reset, its request read."""
+        if self._closed is None or not self._closed.done() or self._closed.exception():
+            return False
+        return await is_request_read(self._sock)
+
+    def release(self) -> None:
+        """Close the duplicate of the socket."""
+        self._sock.close()
 
 
 async def cancel_and_wait(task: asyncio.Task[None] | None) -> None:
--- a/src/amaranthferry/http_connection.py
+++ b/src/amaranthferry/http_connection.py
@@ -10,7 +10,7 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 from enum import StrEnum
-from typing import Self
+from typing import Protocol, Self
 
 import httptools
 import msgspec
@@ -87,6 +87,48 @@
     return ServerProcess.RUNNING
 
 
+def is_possible_status(status: int) -> bool:
+    """Return whether an answer can have a status."""
+    return MIN_STATUS <= status <= MAX_STATUS
+
+
+class Socket(Protocol):
+    """Ask the kernel about a connection."""
+
+    def fileno(self) -> int:
+        """Return the descriptor."""
+
+    def getsockopt(self, level: int, name: int, /) -> int:
+        """Return an option."""
+
+
+def unacknowledged_bytes(sock: Socket) -> int:
+    """Return how much of what was written the peer's kernel has not acknowledged."""
+    size = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+    return int(struct.unpack("i", size)[0])
+
+
+def has_failed(sock: Socket) -> bool:
+    """Return whether the connection has been reset, or lost in another way."""
+    return bool(sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
+
+
+async def is_request_read(sock: Socket) -> bool:
+    """Return whether a server reads the rest of its request in time.
+
+    It has ended its side of the connection, which it may still reset.
+    """
+    loop = asyncio.get_running_loop()
+    until = loop.time() + REST_TIMEOUT
+    while not has_failed(sock):
+        if not unacknowledged_bytes(sock):
+            return True
+        if loop.time() >= until:
+            return False
+        await asyncio.sleep(REST_CHECK_PERIOD)
+    return False
+
+
 class AnswerFraming(StrEnum):
     """Define what marks the end of an answer's body."""
 
@@ -237,17 +279,14 @@
             return 0
         unsent = self._transport.get_write_buffer_size()
         sock = self._transport.get_extra_info("socket")
-        if unsent or sock is None:
-            return unsent
-        size = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
-        return int(struct.unpack("i", size)[0])
+        return unsent or (unacknowledged_bytes(sock) if sock is not None else 0)
 
     def _check_rest(self, until: Seconds) -> None:
         """Complete the answer once its request has been read, or fail it."""
         if self._transport is None or self._error is not None:
             return
         sock = self._transport.get_extra_info("socket")
-        if sock is not None and sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+        if sock is not None and has_failed(sock):
             self.give_up("The connection was reset while the request was sent.")
         elif not self._unread_request_bytes():
             self._complete = True
@@ -472,7 +511,7 @@
         if self._complete:
             return
         status = self._parser.get_status_code()
-        if not MIN_STATUS <= status <= MAX_STATUS:
+        if not is_possible_status(status):
             self._fail(f"No answer has the status {status:03}.")
             return
         self._informational = status < MIN_FINAL_STATUS
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -12,6 +12,8 @@
 from amaranthferry.standins.serving import UnframedResponse, reset_connection, serve
 from amaranthferry.types import PoolId, PoolKind, RequestId, ServerId, ZoneId
 
+from .early_server import UPLOAD, End, early_server
+
 
 async def dispatch(
     chunks, *, kind=PoolKind.SERVICE, reset=False, method="GET", status=200
@@ -123,3 +125,46 @@
     listener.close()
     assert isinstance(events[-1], DispatchFailed)
     assert events[-1].server_ended is ends
+
+
+async def dispatch_early(end, *, body, **answer):
+    """Dispatch to a plain service that answers early; return the head and the event."""
+    async with early_server(end, **answer) as address:
+        call = Call(
+            request_id=RequestId("r"),
+            kind=PoolKind.SERVICE,
+            method="POST",
+            path="/call",
+            headers=(),
+            body=body,
+            streamed=False,
+            timeout=2.0,
+        )
+        server = BackendServer(
+            name=ServerId("s"),
+            pool=PoolId("p"),
+            zone=ZoneId("z"),
+            address=address,
+        )
+        events, exchange = [], Exchange(call)
+        client = BackendClient(idle_timeout=2.0, clock=asyncio.get_running_loop().time)
+        await client.start()
+        await client.dispatch(exchange, server, events.append)
+        await client.stop()
+    return exchange.head, events[-1]
+
+
+@pytest.mark.parametrize(
+    ("end", "complete"),
+    [
+        (End.RESET, False),
+        (End.CLOSED, False),
+        (End.HALF_CLOSED, False),
+        (End.LEFT_OPEN, False),
+        (End.READ_ON, True),
+        (End.READ, True),
+    ],
+)
+async def test_unframed_answer_is_complete_only_once_its_request_is_read(end, complete):
+    _, ended = await dispatch_early(end, body=UPLOAD)
+    assert isinstance(ended, DispatchFinished if complete else DispatchFailed)
