Take impossible statuses for broken answers on the own interface too

What callers saw: an answer of status 000, as a whole answer with that status where it came with a length. 099, 600 and 999 were passed on in the same way.

Cause: the client library accepts any three digits, and nothing checked them.

Why this works: as with routed requests, statuses outside 100 to 599 are broken answers. Nothing of them reaches the caller, who gets a failure of the host.

--- a/src/amaranthferry/engine.py
+++ b/src/amaranthferry/engine.py
@@ -24,6 +24,7 @@
     CHECK_TIMEOUT,
     ServerProcess,
     check_process,
+    is_possible_status,
     is_request_read,
 )
 from .types import PoolKind, Seconds, Tokens
@@ -73,6 +74,10 @@
     """Report that a body ended before its end marker."""
 
 
+class _ImpossibleStatus(Exception):  # noqa: N818
+    """Report that an answer has a status that there is not."""
+
+
 def end_to_end_headers(headers: list[tuple[str, str]]) -> tuple[tuple[str, str], ...]:
     """Drop the headers that concern one connection only."""
     named = {
@@ -191,7 +196,13 @@
             self._report(
                 DispatchRefused(now=self._clock(), request_id=self._call.request_id)
             )
-        except (aiohttp.ClientError, TimeoutError, _Truncated, OSError):
+        except (
+            aiohttp.ClientError,
+            TimeoutError,
+            _Truncated,
+            _ImpossibleStatus,
+            OSError,
+        ):
             await self._resume()
 
     async def _run_step(self, step: Callable[[], Awaitable[bool]]) -> None:
@@ -237,6 +248,8 @@
         return not_admitted and answer.status in (429, 503)
 
     def _begin(self, answer: aiohttp.ClientResponse) -> None:
+        if not is_possible_status(answer.status):
+            raise _ImpossibleStatus
         self._status = answer.status
         self._cached = int(answer.headers.get("X-Cached-Tokens", "0") or 0)
         headers = end_to_end_headers(list(answer.headers.items()))
@@ -333,7 +346,7 @@
         except aiohttp.ClientConnectorError as exc:
             self._server_ended = isinstance(exc.os_error, ConnectionRefusedError)
             return _ResumeResult.FAILED
-        except (aiohttp.ClientError, _Truncated, OSError):
+        except (aiohttp.ClientError, _Truncated, _ImpossibleStatus, OSError):
             return (
                 _ResumeResult.ALIVE if self._offset > before else _ResumeResult.FAILED
             )
