Bound what is held of an engine's answer and of a server's report

What callers saw: a faulty server sent a body without end, the process that had called it kept all of it and ran out of memory, and the requests of other callers ended with it.

Cause: on the product's own interface, an answer that is no stream was copied whole to read its token counts at the end, and a server's own document (its load, its cache events) was read whole.

The four new cases fail on the code before.

Why this works: over 4 MiB an answer's token counts aren't read, the copy is dropped and the answer is relayed as before, at its caller's pace. A document over 1 MiB counts as one that could not be read.

--- a/src/amaranthferry/engine.py
+++ b/src/amaranthferry/engine.py
@@ -9,7 +9,7 @@
 import msgspec
 from aiohttp.connector import Connection
 
-from .config import BackendServer
+from .config import MEBIBYTE, BackendServer
 from .events import (
     DispatchFailed,
     DispatchFinished,
@@ -34,6 +34,9 @@
 MAX_RESUME_FAILURES = 3
 RESUME_DELAY: Seconds = 0.3
 BODILESS_STATUSES = frozenset({204, 304})
+#: Size of a server's own document, and of an answer whose token counts are read.
+MAX_DOCUMENT_BYTES = MEBIBYTE
+MAX_COUNTED_BYTES = 4 * MEBIBYTE
 STREAM_END = b"data: [DONE]"
 _TAIL_BYTES = 64
 _HOP_BY_HOP = frozenset(
@@ -145,12 +148,20 @@
             return
 
     async def get_json(self, server: BackendServer, path: str) -> bytes:
-        """Read a small document from a server's control interface."""
+        """Read a small document from a server's control interface.
+
+        Raise a client error for one that is too large.
+        """
         url = f"http://{server.address}{path}"
         timeout = aiohttp.ClientTimeout(total=CONNECT_TIMEOUT)
         async with self.session.get(url, timeout=timeout) as answer:
             answer.raise_for_status()
-            return await answer.read()
+            document = bytearray()
+            async for chunk in answer.content.iter_any():
+                document += chunk
+                if len(document) > MAX_DOCUMENT_BYTES:
+                    raise aiohttp.ClientPayloadError("The document is too large.")
+            return bytes(document)
 
 
 class _ResumeResult(Enum):
@@ -186,6 +197,8 @@
         self._reported_at = 0.0
         self._status = 0
         self._unstreamed_body = bytearray()
+        #: Whether the body is too long for its token counts to be read.
+        self._uncounted = False
         #: Whether the server has refused the last connection.
         self._server_ended = False
 
@@ -292,8 +305,11 @@
         if self._call.streamed:
             self._tokens += chunk.count(b"data:")
             self._report_progress(now)
-        elif self._call.kind is PoolKind.ENGINE:
+        elif self._call.kind is PoolKind.ENGINE and not self._uncounted:
             self._unstreamed_body += chunk
+            if len(self._unstreamed_body) > MAX_COUNTED_BYTES:
+                self._unstreamed_body.clear()
+                self._uncounted = True
         await self._exchange.feed(chunk)
 
     def _report_progress(self, now: Seconds) -> None:
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -1,18 +1,22 @@
 import asyncio
+import contextlib
+import tracemalloc
 
+import aiohttp
 import pytest
 from starlette.applications import Starlette
 from starlette.responses import Response
 from starlette.routing import Route
 
 from amaranthferry.config import BackendServer
-from amaranthferry.engine import BackendClient
+from amaranthferry.engine import BackendClient, cancel_and_wait
 from amaranthferry.events import DispatchFailed, DispatchFinished
 from amaranthferry.exchange import Call, Exchange
 from amaranthferry.standins.serving import UnframedResponse, reset_connection, serve
 from amaranthferry.types import PoolId, PoolKind, RequestId, ServerId, ZoneId
 
 from .early_server import UPLOAD, End, early_server
+from .gateway.test_endless_answers import ANSWERS, EndlessServer
 
 
 async def dispatch(
@@ -178,3 +182,69 @@
     )
     assert isinstance(ended, DispatchFailed)
     assert not head.done()
+
+
+#: What may be held of an answer without end.
+MAX_HELD = 16 * 1024 * 1024
+
+
+@contextlib.asynccontextmanager
+async def endless_client(answer):
+    """Run a client and a server whose answers never end; yield them with the peak."""
+    endless = EndlessServer(*ANSWERS[answer])
+    listener = await asyncio.start_server(endless.serve, "127.0.0.1", 0)
+    port = listener.sockets[0].getsockname()[1]
+    server = BackendServer(
+        name=ServerId("s"),
+        pool=PoolId("p"),
+        zone=ZoneId("z"),
+        address=f"127.0.0.1:{port}",
+    )
+    client = BackendClient(idle_timeout=1.0, clock=asyncio.get_running_loop().time)
+    await client.start()
+    tracemalloc.start()
+    yield client, server, endless, lambda: tracemalloc.get_traced_memory()[1]
+    tracemalloc.stop()
+    await client.stop()
+    listener.close()
+
+
+async def read_all(exchange):
+    await exchange.head
+    async for _ in exchange.body():
+        pass
+
+
+@pytest.mark.parametrize("answer", ["body", "chunks"])
+async def test_answer_of_an_engine_without_end_is_not_held_in_memory(answer):
+    call = Call(
+        request_id=RequestId("r"),
+        kind=PoolKind.ENGINE,
+        method="POST",
+        path="/call",
+        headers=(),
+        body=b"1",
+        streamed=False,
+        timeout=30.0,
+    )
+    exchange = Exchange(call)
+    async with endless_client(answer) as (client, server, endless, peak):
+        reader = asyncio.ensure_future(read_all(exchange))
+        dispatch = client.dispatch(exchange, server, lambda event: None)
+        tasks = [reader, asyncio.ensure_future(dispatch)]
+        async with asyncio.timeout(20.0):
+            while endless.sent < 2 * MAX_HELD:
+                await asyncio.sleep(0.01)
+        held = peak()
+        for task in tasks:
+            await cancel_and_wait(task)
+    assert held < MAX_HELD
+
+
+@pytest.mark.parametrize("answer", ["body", "chunks"])
+async def test_document_of_a_server_without_end_is_not_held_in_memory(answer):
+    async with endless_client(answer) as (client, server, _, peak):
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await client.get_json(server, "/load")
+        held = peak()
+    assert held < MAX_HELD
