Apply a longer idle timeout to the connections that are open

What callers saw: a connection was closed sooner than the idle timeout of the configuration in force allows, however long ago that had been acknowledged, if it had been opened under a version with a shorter one.

Cause: a connection took its idle timeout from the configuration that was in force when it was opened, and kept it for as long as it lasted.

Evidence: test_idle_connection_is_kept_for_a_longer_timeout_that_is_set_meanwhile fails on the code before. Found by going through what follows a version after it has been replaced; not shown to be what the users reported.

Why this works: a longer timeout extends the idle time that runs at a connection; a shorter one holds from the next request on, since a client that knows only the version before may use its timeout to the end.

--- a/src/amaranthferry/gateway/connection.py
+++ b/src/amaranthferry/gateway/connection.py
@@ -102,6 +102,18 @@
         self.account()
         self._arm_idle(max(self._limits.first_idle, self.timeout_keep_alive))
 
+    def set_idle_timeout(self, idle: int) -> None:
+        """Set the idle timeout; a longer one also applies to the current idle time.
+
+        A client that knows only the one before may use it to the end.
+        """
+        longer = idle - self.timeout_keep_alive
+        self.timeout_keep_alive = idle
+        task = self.timeout_keep_alive_task
+        if longer > 0 and task is not None:
+            self._unset_keepalive_if_required()
+            self._arm_idle(task.when() + longer - self.loop.time())
+
     def _arm_idle(self, idle: Seconds) -> None:
         """Close the connection after a time unless a request begins."""
         self.timeout_keep_alive_task = self.loop.call_later(
--- a/src/amaranthferry/gateway/listener.py
+++ b/src/amaranthferry/gateway/listener.py
@@ -65,8 +65,11 @@
         self._server: asyncio.Server | None = None
 
     def set_idle_timeout(self, idle: Seconds) -> None:
-        """Set the idle timeout; it applies to new connections."""
-        self._config.timeout_keep_alive = max(1, int(idle))
+        """Set the idle timeout of new connections and of those that are open."""
+        self._config.timeout_keep_alive = timeout = max(1, int(idle))
+        for protocol in list(self._state.connections):
+            if isinstance(protocol, CallerConnection):
+                protocol.set_idle_timeout(timeout)
 
     def set_head_limits(self, size: int, time: Seconds) -> None:
         """Set what a request's head may have and take."""
--- a/tests/intake/test_connection_times.py
+++ b/tests/intake/test_connection_times.py
@@ -78,6 +78,16 @@
     await asyncio.get_running_loop().sock_sendall(sock, data)
 
 
+async def ask(sock):
+    """Send a request and read its answer; fail if the connection ends before."""
+    await send(sock, REQUEST)
+    received = b""
+    while not received.endswith(b"xx"):
+        part = await asyncio.get_running_loop().sock_recv(sock, 4_096)
+        assert part
+        received += part
+
+
 async def test_silent_connection_is_closed():
     async with Server(answer, first_idle=0.2) as server:
         sock = await server.connect()
@@ -85,6 +95,28 @@
         sock.close()
 
 
+async def test_idle_connection_is_kept_for_a_longer_timeout_that_is_set_meanwhile():
+    async with Server(answer) as server, asyncio.timeout(HANG_TIME):
+        sock = await server.connect()
+        await ask(sock)
+        server.listener.set_idle_timeout(2 * HANG_TIME)
+        # Longer than the timeout that the server has from its start.
+        await asyncio.sleep(1.5)
+        await ask(sock)
+        sock.close()
+
+
+async def test_idle_connection_has_a_shorter_timeout_from_its_next_request_on():
+    async with Server(answer) as server:
+        sock = await server.connect()
+        server.listener.set_idle_timeout(2 * HANG_TIME)
+        await ask(sock)
+        server.listener.set_idle_timeout(1.0)
+        await ask(sock)
+        await server.until_closed()
+        sock.close()
+
+
 async def test_blank_lines_keep_no_connection_open():
     async with Server(answer, first_idle=0.2) as server:
         sock = await server.connect()
