Play cuts between hosts, delays and suspensions in the property test of changes

The hosts of the test could lose the store or each other in both directions, or be killed. They can now also hear no other host, be heard by none, have their messages delayed by up to a second, and be suspended, when what they send and are told waits until they go on. A fault may meet nearly all hosts at once. A host that is killed is dropped by the others and joins again.

The check is stricter: a host that is cut off from other hosts, but reaches the store, counts as in touch, as the rule on changes has it.

--- a/tests/replica/replica_fleet.py
+++ b/tests/replica/replica_fleet.py
@@ -45,9 +45,21 @@
     STORE_REFUSES = "store refuses"
     STORE_SLOW = "store slow"
     CUT_OFF = "cut off from the other hosts"
+    DEAF = "hears no other host"
+    UNHEARD = "is heard by no other host"
+    DELAYED = "messages take up to a second more"
+    SUSPENDED = "suspended"
     KILLED = "killed"
 
 
+#: Faults between hosts, which excuse no host that reaches the store.
+PEER_FAULTS = frozenset({Fault.CUT_OFF, Fault.DEAF, Fault.UNHEARD})
+#: Time after which the other hosts drop one that is killed, or add one that starts.
+DETECTION_TIME = 1.5
+JOIN_TIME = 0.3
+MAX_EXTRA_DELAY = 1.0
+
+
 class Store:
     """Hold the objects of two kinds with one counter of revisions."""
 
@@ -126,6 +138,8 @@
     async def _answer(self, timeout):
         slow = Fault.STORE_SLOW in self._faults
         await asyncio.sleep(SLOW_ANSWER_DELAY if slow else ANSWER_DELAY)
+        while Fault.SUSPENDED in self._faults:
+            await asyncio.sleep(0.01)
         if Fault.STORE_REFUSES in self._faults:
             raise StoreUnavailable("Refused.", remedy="Wait.")
         if Fault.STORE_SILENT in self._faults:
@@ -185,6 +199,7 @@
         self.versions = defaultdict(list)
         self.confirmed = {}
         self.findings = []
+        self.live = set(self.hosts)
 
     def now(self):
         return asyncio.get_running_loop().time()
@@ -211,7 +226,7 @@
                 budget=AgeBudget.from_bounds(apply=APPLY_BOUND, revoke=REVOKE_BOUND),
                 order=order,
             )
-            sync.set_hosts(self.hosts)
+            sync.set_hosts(sorted(self.live | {host}))
             self.syncs[host, kind] = sync
             self.tasks[host, kind] = asyncio.ensure_future(sync.run())
 
@@ -226,12 +241,24 @@
             self.findings.append(Finding(host, version, 0.0, "older again"))
         seen.append((version, self.now()))
 
+    def _set_live(self, host, alive):
+        """Have the hosts that run learn that another one has started or is gone."""
+        if (Fault.KILLED in self.faults[host]) is alive:
+            return
+        (self.live.add if alive else self.live.discard)(host)
+        for (other, _), sync in self.syncs.items():
+            if Fault.KILLED not in self.faults[other]:
+                sync.set_hosts(sorted(self.live | {other}))
+
     def _sender(self, sender):
         def send(host, message):
-            apart = {Fault.CUT_OFF, Fault.KILLED}
-            if apart & (self.faults[sender] | self.faults[host]):
+            apart = {Fault.CUT_OFF, Fault.UNHEARD} & self.faults[sender]
+            if apart or {Fault.CUT_OFF, Fault.KILLED} & self.faults[host]:
                 return Fault.KILLED not in self.faults[host]
-            delay = self.rng.uniform(0.0, MESSAGE_DELAY)
+            if Fault.DELAYED in self.faults[sender] | self.faults[host]:
+                delay = self.rng.uniform(0.0, MAX_EXTRA_DELAY)
+            else:
+                delay = self.rng.uniform(0.0, MESSAGE_DELAY)
             loop = asyncio.get_running_loop()
             loop.call_later(delay, self._deliver, sender, host, message)
             return True
@@ -239,7 +266,10 @@
         return send
 
     def _deliver(self, sender, host, message):
-        if not {Fault.CUT_OFF, Fault.KILLED} & self.faults[host]:
+        if Fault.SUSPENDED in self.faults[sender] | self.faults[host]:
+            loop = asyncio.get_running_loop()
+            loop.call_later(MESSAGE_DELAY, self._deliver, sender, host, message)
+        elif not {Fault.CUT_OFF, Fault.DEAF, Fault.KILLED} & self.faults[host]:
             self.syncs[host, message.kind].receive(sender, message)
 
     async def inject(self, host, fault, duration):
@@ -248,14 +278,18 @@
         began = self.now()
         self.faults[host].add(fault)
         span = [began, float("inf")]
-        self.spans[host].append(span)
+        if fault not in PEER_FAULTS:
+            self.spans[host].append(span)
+        loop = asyncio.get_running_loop()
         if fault is Fault.KILLED:
             self.stop(host)
+            loop.call_later(DETECTION_TIME, self._set_live, host, False)
         self.store.wake()
         await asyncio.sleep(duration)
         self.faults[host].discard(fault)
         if fault is Fault.KILLED:
             self.start(host)
+            loop.call_later(JOIN_TIME, self._set_live, host, True)
         span[1] = self.now()
 
     async def put_version(self):
@@ -272,7 +306,7 @@
                 self.findings.append(Finding(host, version, at, problem))
 
     def _in_touch(self, host):
-        """Return whether a host has had no fault for the time of contact."""
+        """Return whether a host has reached the store for the time of contact."""
         since = self.now() - CONTACT_TIME
         return not any(end > since for _, end in self.spans[host])
 
@@ -294,7 +328,8 @@
     while fleet.now() < end:
         await asyncio.sleep(rng.uniform(0.05, 1.0))
         if rng.random() < 0.15:
-            chosen = [h for h in fleet.hosts if rng.random() < rng.choice((0.1, 0.5))]
+            share = rng.choice((0.1, 0.5, 0.97))
+            chosen = [host for host in fleet.hosts if rng.random() < share]
             chosen += readers if rng.random() < 0.6 else []
             fault, duration = rng.choice(list(Fault)), rng.uniform(0.3, 6.0)
             tasks += [
