Test that a route added with its service and server is served in time

A route that was added and not served has the same rule as a change that is late (CONFIG), and nothing of ours played a route, its service and its server added while both readers hear nothing.

--- a/tests/gateway/test_changes_in_time.py
+++ b/tests/gateway/test_changes_in_time.py
@@ -10,7 +10,7 @@
 from amaranthferry.standins.metadata import StoreFault
 
 from .changing_fleet import APPLY_BOUND, REVOKE_BOUND, changing_fleet
-from .fleet import KEY, Caller, config, entry
+from .fleet import KEY, ROUTES, Caller, config, entry
 
 DEEP = msgspec.Raw(b"[" * 3_000 + b"]" * 3_000)
 ODD_SPECS = {
@@ -209,3 +209,22 @@
         assert system.late_runs(APPLY_BOUND) == 0
         assert system.late_denials == 0
         assert system.served_share > 0.9
+
+
+async def test_route_added_with_its_service_is_served_in_time_past_silent_readers():
+    async with changing_fleet(hosts=5) as system:
+        chosen = readers(system)
+        for number in chosen:
+            system.views[number].fault = StoreFault.SILENT
+        await asyncio.sleep(0.03)
+        spec = config(2)
+        spec["services"] = [*spec["services"], {"name": "new", "maxConnections": 100}]
+        route = {**ROUTES[2], "name": "new", "pathPrefix": "/new/", "service": "new"}
+        spec["routes"] = [*spec["routes"], route]
+        await system.store.put("config", "main", spec)
+        await system.add_server("new", "new-0")
+        await asyncio.sleep(APPLY_BOUND)
+        caller = Caller(system)
+        for host in set(range(5)) - set(chosen):
+            _, status, _, body = await caller.send("GET", "/new/x", host=host)
+            assert (status, body) == (200, b"new-0")
