Share the wait for the rest of a request between both interfaces

The connection of routed requests polled the kernel by timers of its own, for what the other interface waits in a coroutine. Both use the coroutine now, which also counts what the transport has not written yet. The fake transport of a test is as it was before the timers, and two descriptions of calls are shared in a test.

--- a/src/amaranthferry/http_connection.py
+++ b/src/amaranthferry/http_connection.py
@@ -113,15 +113,23 @@
     return bool(sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
 
 
-async def is_request_read(sock: Socket) -> bool:
+def _nothing() -> int:
+    """Return that no bytes wait to be written."""
+    return 0
+
+
+async def is_request_read(
+    sock: Socket, unwritten: Callable[[], int] = _nothing
+) -> bool:
     """Return whether a server reads the rest of its request in time.
 
-    It has ended its side of the connection, which it may still reset.
+    It has ended its side of the connection, which it may still reset. `unwritten` tells
+    how many bytes the socket has not taken yet.
     """
     loop = asyncio.get_running_loop()
     until = loop.time() + REST_TIMEOUT
     while not has_failed(sock):
-        if not unacknowledged_bytes(sock):
+        if not (unwritten() or unacknowledged_bytes(sock)):
             return True
         if loop.time() >= until:
             return False
@@ -186,6 +194,8 @@
         self._head_size = 0
         #: Whether the peer has closed the connection in order, not by a reset.
         self.closed_by_peer = False
+        #: Waits for the server to read the rest of the request, after its answer.
+        self._rest: asyncio.Task[None] | None = None
 
     @classmethod
     async def open(cls, address: str, *, timeout: Seconds) -> Self:
@@ -265,40 +275,28 @@
         an answer that was broken off is told from a whole one.
         """
         self.closed_by_peer = True
-        if self._start is None or self._framed:
+        if self._transport is None or self._start is None or self._framed:
             return False
-        if self._unread_request_bytes():
-            self._check_rest(self._loop.time() + REST_TIMEOUT)
-            return True
-        self._complete = True
-        return False
-
-    def _unread_request_bytes(self) -> int:
-        """Return how much of the request the server's side has not acknowledged."""
-        if self._transport is None:
-            return 0
-        unsent = self._transport.get_write_buffer_size()
         sock = self._transport.get_extra_info("socket")
-        return unsent or (unacknowledged_bytes(sock) if sock is not None else 0)
+        if sock is None or not unacknowledged_bytes(sock):
+            self._complete = True
+            return False
+        self._rest = self._loop.create_task(self._await_rest(sock, self._transport))
+        return True
 
-    def _check_rest(self, until: Seconds) -> None:
+    async def _await_rest(self, sock: Socket, transport: asyncio.Transport) -> None:
         """Complete the answer once its request has been read, or fail it."""
-        if self._transport is None or self._error is not None:
-            return
-        sock = self._transport.get_extra_info("socket")
-        if sock is not None and has_failed(sock):
-            self.give_up("The connection was reset while the request was sent.")
-        elif not self._unread_request_bytes():
+        if await is_request_read(sock, transport.get_write_buffer_size):
             self._complete = True
             self._wake()
-        elif self._loop.time() >= until:
-            self.give_up("The answer ended before the request had been read.")
         else:
-            self._loop.call_later(REST_CHECK_PERIOD, self._check_rest, until)
+            self.give_up("The answer ended before its request had been read.")
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail an answer that is not complete."""
         self._transport = None
+        if self._rest is not None:
+            self._rest.cancel()
         if not self._complete and self._error is None:
             self._error = BrokenAnswer(
                 "The connection was closed before the answer was complete."
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -131,26 +131,31 @@
     assert events[-1].server_ended is ends
 
 
+def server_at(address):
+    return BackendServer(
+        name=ServerId("s"), pool=PoolId("p"), zone=ZoneId("z"), address=address
+    )
+
+
+def whole_call(kind, body):
+    """Return a call whose answer is no stream."""
+    return Call(
+        request_id=RequestId("r"),
+        kind=kind,
+        method="POST",
+        path="/call",
+        headers=(),
+        body=body,
+        streamed=False,
+        timeout=30.0,
+    )
+
+
 async def dispatch_early(end, *, body, **answer):
     """Dispatch to a plain service that answers early; return the head and the event."""
     async with early_server(end, **answer) as address:
-        call = Call(
-            request_id=RequestId("r"),
-            kind=PoolKind.SERVICE,
-            method="POST",
-            path="/call",
-            headers=(),
-            body=body,
-            streamed=False,
-            timeout=2.0,
-        )
-        server = BackendServer(
-            name=ServerId("s"),
-            pool=PoolId("p"),
-            zone=ZoneId("z"),
-            address=address,
-        )
-        events, exchange = [], Exchange(call)
+        server = server_at(address)
+        events, exchange = [], Exchange(whole_call(PoolKind.SERVICE, body))
         client = BackendClient(idle_timeout=2.0, clock=asyncio.get_running_loop().time)
         await client.start()
         await client.dispatch(exchange, server, events.append)
@@ -194,12 +199,7 @@
     endless = EndlessServer(*ANSWERS[answer])
     listener = await asyncio.start_server(endless.serve, "127.0.0.1", 0)
     port = listener.sockets[0].getsockname()[1]
-    server = BackendServer(
-        name=ServerId("s"),
-        pool=PoolId("p"),
-        zone=ZoneId("z"),
-        address=f"127.0.0.1:{port}",
-    )
+    server = server_at(f"127.0.0.1:{port}")
     client = BackendClient(idle_timeout=1.0, clock=asyncio.get_running_loop().time)
     await client.start()
     tracemalloc.start()
@@ -217,17 +217,7 @@
 
 @pytest.mark.parametrize("answer", ["body", "chunks"])
 async def test_answer_of_an_engine_without_end_is_not_held_in_memory(answer):
-    call = Call(
-        request_id=RequestId("r"),
-        kind=PoolKind.ENGINE,
-        method="POST",
-        path="/call",
-        headers=(),
-        body=b"1",
-        streamed=False,
-        timeout=30.0,
-    )
-    exchange = Exchange(call)
+    exchange = Exchange(whole_call(PoolKind.ENGINE, b"1"))
     async with endless_client(answer) as (client, server, endless, peak):
         reader = asyncio.ensure_future(read_all(exchange))
         dispatch = client.dispatch(exchange, server, lambda event: None)
--- a/tests/test_http_connection.py
+++ b/tests/test_http_connection.py
@@ -34,9 +34,6 @@
     def is_closing(self):
         return self.aborted
 
-    def get_write_buffer_size(self):
-        return 0
-
     def pause_reading(self):
         self.paused = True
 
