--- a/src/amaranthferry/engine.py
+++ b/src/amaranthferry/engine.py
@@ -78,7 +78,7 @@
 
 
 class _ImpossibleStatus(Exception):  # noqa: N818
-    """Report that an answer has a status that there is not."""
+    """Report that the status of an answer is outside the possible ones."""
 
 
 def end_to_end_headers(headers: list[tuple[str, str]]) -> tuple[tuple[str, str], ...]:
--- a/src/amaranthferry/http_connection.py
+++ b/src/amaranthferry/http_connection.py
@@ -113,13 +113,13 @@
     return bool(sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
 
 
-def _nothing() -> int:
-    """Return that no bytes wait to be written."""
+def _no_bytes() -> int:
+    """Return that all bytes have been written."""
     return 0
 
 
 async def is_request_read(
-    sock: Socket, unwritten: Callable[[], int] = _nothing
+    sock: Socket, unwritten: Callable[[], int] = _no_bytes
 ) -> bool:
     """Return whether a server reads the rest of its request in time.
 
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -181,7 +181,7 @@
 
 @pytest.mark.parametrize("framing", [b"", b"Content-Length: 14\r\n"])
 @pytest.mark.parametrize("status", [b"000 None", b"099 None", b"600 None", b"999 None"])
-async def test_answer_with_an_impossible_status_is_none(status, framing):
+async def test_answer_with_an_impossible_status_is_broken(status, framing):
     head, ended = await dispatch_early(
         End.READ, body=b"1", status=status, framing=framing
     )
