Log answers and reports of engines that are not read

An answer whose token counts aren't read, one with an impossible status and a report over its bound were passed over without a line; the counts of the first became 0. Each has a line with its server and the reason.

--- a/src/amaranthferry/engine.py
+++ b/src/amaranthferry/engine.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 import msgspec
+import structlog
 from aiohttp.connector import Connection
 
 from .config import MEBIBYTE, BackendServer
@@ -39,6 +40,7 @@
 MAX_COUNTED_BYTES = 4 * MEBIBYTE
 STREAM_END = b"data: [DONE]"
 _TAIL_BYTES = 64
+_log = structlog.get_logger()
 _HOP_BY_HOP = frozenset(
     {
         "connection",
@@ -262,6 +264,12 @@
 
     def _begin(self, answer: aiohttp.ClientResponse) -> None:
         if not is_possible_status(answer.status):
+            _log.warning(
+                "engine.status_impossible",
+                server=self._server.name,
+                request_id=self._call.request_id,
+                status=answer.status,
+            )
             raise _ImpossibleStatus
         self._status = answer.status
         self._cached = int(answer.headers.get("X-Cached-Tokens", "0") or 0)
@@ -310,6 +318,12 @@
             if len(self._unstreamed_body) > MAX_COUNTED_BYTES:
                 self._unstreamed_body.clear()
                 self._uncounted = True
+                _log.warning(
+                    "engine.answer_not_counted",
+                    server=self._server.name,
+                    request_id=self._call.request_id,
+                    limit=MAX_COUNTED_BYTES,
+                )
         await self._exchange.feed(chunk)
 
     def _report_progress(self, now: Seconds) -> None:
--- a/src/amaranthferry/poller.py
+++ b/src/amaranthferry/poller.py
@@ -111,6 +111,9 @@
             cache = await self._app.backend.get_json(
                 server, f"/cache-events?after={after}"
             )
+        except aiohttp.ClientPayloadError as exc:
+            _log.warning("engine.report_unread", server=server.name, problem=str(exc))
+            return
         except (aiohttp.ClientError, TimeoutError, OSError):
             return
         try:
