Keep idle connections for the fraction of a second of their timeout

What callers saw: with an idle timeout of 1.9 s a connection was closed after 1 s, while clients use it for up to four fifths of the timeout.

Cause: the timeout was cut to whole seconds. From 5 s on that leaves the four fifths; below, it may not.

Evidence: test_idle_connection_is_kept_for_the_fraction_of_a_second_of_its_timeout fails on the code before.

Why this works: the timeout is rounded up, so no connection is closed early.

--- a/src/amaranthferry/gateway/listener.py
+++ b/src/amaranthferry/gateway/listener.py
@@ -4,6 +4,7 @@
 import contextlib
 import socket
 from collections.abc import Awaitable, Callable
+from math import ceil
 from typing import Any
 
 import uvicorn
@@ -66,7 +67,7 @@
 
     def set_idle_timeout(self, idle: Seconds) -> None:
         """Set the idle timeout of new connections and of those that are open."""
-        self._config.timeout_keep_alive = timeout = max(1, int(idle))
+        self._config.timeout_keep_alive = timeout = max(1, ceil(idle))
         for protocol in list(self._state.connections):
             if isinstance(protocol, CallerConnection):
                 protocol.set_idle_timeout(timeout)
--- a/tests/intake/test_connection_times.py
+++ b/tests/intake/test_connection_times.py
@@ -106,6 +106,17 @@
         sock.close()
 
 
+async def test_idle_connection_is_kept_for_the_fraction_of_a_second_of_its_timeout():
+    async with Server(answer) as server, asyncio.timeout(HANG_TIME):
+        server.listener.set_idle_timeout(1.9)
+        sock = await server.connect()
+        await ask(sock)
+        # Clients use a connection for up to four fifths of its timeout.
+        await asyncio.sleep(1.9 * 0.8)
+        await ask(sock)
+        sock.close()
+
+
 async def test_idle_connection_has_a_shorter_timeout_from_its_next_request_on():
     async with Server(answer) as server:
         sock = await server.connect()
